--- /dev/null
+++ b/pomelohead/config/snapshot.cc
@@ -0,0 +1,89 @@
+#include "pomelohead/config/snapshot.h"
+
+#include <algorithm>
+
+namespace pomelohead::config {
+namespace {
+
+// A prefix matches whole segments: "/rota" matches "/rota" and "/rota/x", not "/rotas".
+bool matches_path(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+}
+
+bool is_better(const route& candidate, const route& best)
+{
+    if (candidate.m_path_prefix.size() != best.m_path_prefix.size()) {
+        return candidate.m_path_prefix.size() > best.m_path_prefix.size();
+    }
+    return candidate.m_method != "*" && best.m_method == "*";
+}
+
+} // namespace
+
+std::string_view to_string(work_class value)
+{
+    return value == work_class::short_work ? "short" : "long";
+}
+
+std::string_view to_string(urgency value)
+{
+    switch (value) {
+    case urgency::urgent:
+        return "urgent";
+    case urgency::normal:
+        return "normal";
+    case urgency::deferrable:
+        return "deferrable";
+    }
+    return "normal";
+}
+
+const route* snapshot::find_route(std::string_view method, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    const route* best = nullptr;
+    for (const route& candidate : m_routes) {
+        if (candidate.m_method != "*" && candidate.m_method != method) {
+            continue;
+        }
+        if (matches_path(candidate.m_path_prefix, path) &&
+            (best == nullptr || is_better(candidate, *best))) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+const route* snapshot::find_route_by_name(std::string_view name) const
+{
+    const auto it = std::ranges::find(m_routes, name, &route::m_name);
+    return it == m_routes.end() ? nullptr : &*it;
+}
+
+const service* snapshot::find_service(std::string_view name) const
+{
+    const auto it = std::ranges::lower_bound(m_services, name, {}, &service::m_name);
+    return it == m_services.end() || it->m_name != name ? nullptr : &*it;
+}
+
+const target* snapshot::find_target(std::string_view name) const
+{
+    for (const service& candidate : m_services) {
+        const auto it = std::ranges::find(candidate.m_targets, name, &target::m_name);
+        if (it != candidate.m_targets.end()) {
+            return &*it;
+        }
+    }
+    return nullptr;
+}
+
+bool snapshot::is_draining(std::string_view target_name) const
+{
+    return std::ranges::find(m_drains, target_name, &drain_rule::m_target) != m_drains.end();
+}
+
+} // namespace pomelohead::config
--- /dev/null
+++ b/pomelohead/runtime/fiber.cc
@@ -0,0 +1,124 @@
+// The scheduler keeps ready fibers in a queue and runs them in turn. When none is
+// ready, Boost.Fiber calls suspend_until() on the dispatcher's own stack, and only
+// there the io_context runs: a completion handler may therefore make any fiber
+// ready, but never interrupts the switch from one fiber to another. The pattern is
+// the "embedded main loop" of Boost.Fiber's documentation on Asio integration.
+#include "pomelohead/runtime/fiber.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace pomelohead {
+namespace {
+
+constexpr std::size_t fiber_stack_bytes = 128UL * 1024UL;
+
+// Handlers run at one go before ready fibers get their turn.
+constexpr int max_handlers_per_turn = 64;
+
+class asio_scheduler final : public boost::fibers::algo::algorithm {
+public:
+    explicit asio_scheduler(boost::asio::io_context& io) : m_io(io), m_guard(io.get_executor()) {}
+
+    void awakened(boost::fibers::context* fiber) noexcept override { fiber->ready_link(m_ready); }
+
+    boost::fibers::context* pick_next() noexcept override
+    {
+        if (m_ready.empty()) {
+            return nullptr;
+        }
+        boost::fibers::context* fiber = &m_ready.front();
+        m_ready.pop_front();
+        return fiber;
+    }
+
+    [[nodiscard]] bool has_ready_fibers() const noexcept override { return !m_ready.empty(); }
+
+    void suspend_until(const time_point& until) noexcept override
+    {
+        const std::size_t handled =
+            until == time_point::max() ? m_io.run_one() : m_io.run_one_until(until);
+        if (handled == 0) {
+            return;
+        }
+        for (int i = 1; i < max_handlers_per_turn && m_io.poll_one() > 0; ++i) {
+        }
+    }
+
+    void notify() noexcept override
+    {
+        boost::asio::post(m_io, [] {});
+    }
+
+private:
+    boost::asio::io_context& m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    boost::fibers::scheduler::ready_queue_type m_ready;
+};
+
+boost::fibers::pooled_fixedsize_stack& stacks()
+{
+    static boost::fibers::pooled_fixedsize_stack pool(fiber_stack_bytes);
+    return pool;
+}
+
+} // namespace
+
+void install_fiber_scheduler(boost::asio::io_context& io)
+{
+    boost::fibers::use_scheduling_algorithm<asio_scheduler>(io);
+}
+
+void spawn_detached(std::function<void()> body)
+{
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, stacks(), std::move(body))
+        .detach();
+}
+
+void sleep_for(duration delay)
+{
+    boost::this_fiber::sleep_for(delay);
+}
+
+void fiber_group::spawn(std::function<void()> body)
+{
+    ++m_running;
+    spawn_detached([this, body = std::move(body)] {
+        body();
+        --m_running;
+        if (m_running == 0) {
+            m_ended.notify_all();
+        }
+    });
+}
+
+void fiber_group::wait()
+{
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    m_ended.wait(lock, [this] { return m_running == 0; });
+}
+
+void fiber_event::set()
+{
+    m_set = true;
+    m_changed.notify_all();
+}
+
+void fiber_event::wait()
+{
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_set; });
+}
+
+bool fiber_event::wait_for(duration limit)
+{
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    return m_changed.wait_for(lock, limit, [this] { return m_set; });
+}
+
+} // namespace pomelohead
--- /dev/null
+++ b/pomelohead/runtime/fiber.h
@@ -0,0 +1,111 @@
+// Fibers over Asio: sequential code that waits without blocking the thread.
+//
+// A process has one thread. It installs the scheduler once, starts fibers, and
+// runs until its main function returns. A fiber waits for an asynchronous
+// operation by await(), which hands the operation a completion handler:
+//
+//     boost::asio::io_context io;
+//     install_fiber_scheduler(io);
+//     fiber_group fibers;
+//     fibers.spawn([&] {
+//         auto [error, size] = await<boost::system::error_code, std::size_t>(
+//             [&](auto handler) { socket.async_read_some(buffer, std::move(handler)); });
+//     });
+//     fibers.wait();
+//
+// All fibers share the thread, so data needs no locks, but any call that waits
+// may let another fiber run: check what was read before it again.
+#pragma once
+
+#include "pomelohead/runtime/timer_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace pomelohead {
+
+/// Makes the calling thread's fibers wait in `io`. Call once, before any fiber starts.
+void install_fiber_scheduler(boost::asio::io_context& io);
+
+/// Starts a fiber of the calling thread that nobody waits for.
+void spawn_detached(std::function<void()> body);
+
+/// Lets other fibers run for `delay`.
+void sleep_for(duration delay);
+
+/// Starts an asynchronous operation and suspends the calling fiber until it completes.
+///
+/// `start` is called with a move-only handler of signature void(Results...). The
+/// operation must call it exactly once, in the same thread; cancel the operation
+/// by its own object (socket, timer), which completes it with an error.
+template <class... Results, class Start>
+std::tuple<Results...> await(Start&& start)
+{
+    std::optional<std::tuple<Results...>> outcome;
+    bool suspended = false;
+    boost::fibers::context* waiter = boost::fibers::context::active();
+    std::forward<Start>(start)([&outcome, &suspended, waiter](Results... results) {
+        outcome.emplace(std::move(results)...);
+        if (suspended) {
+            boost::fibers::context::active()->schedule(waiter);
+        }
+    });
+    if (!outcome) {
+        suspended = true;
+        waiter->suspend();
+    }
+    return std::move(*outcome);
+}
+
+/// A set of fibers whose end can be waited for.
+class fiber_group {
+public:
+    fiber_group() = default;
+    fiber_group(const fiber_group&) = delete;
+    fiber_group& operator=(const fiber_group&) = delete;
+    ~fiber_group() { wait(); }
+
+    /// Starts a fiber that belongs to the group.
+    void spawn(std::function<void()> body);
+
+    /// Suspends the calling fiber until all fibers of the group have ended.
+    void wait();
+
+    /// The number of fibers that have not ended.
+    [[nodiscard]] std::size_t size() const { return m_running; }
+
+private:
+    std::size_t m_running = 0;
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_ended;
+};
+
+/// A one-shot or repeatable signal between fibers of one thread.
+class fiber_event {
+public:
+    /// Wakes all waiting fibers, and lets later waits pass until reset().
+    void set();
+    void reset() { m_set = false; }
+    [[nodiscard]] bool is_set() const { return m_set; }
+
+    /// Suspends the calling fiber until set().
+    void wait();
+
+    /// Like wait(), for at most `limit`. Returns whether the event was set.
+    bool wait_for(duration limit);
+
+private:
+    bool m_set = false;
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_changed;
+};
+
+} // namespace pomelohead
