Outcome and lifecycle: the decisions about one request as pure functions

Cause: the promises (at most once, true 'not run', whole answers) need one place that says who may claim what, which the entry and owner servers can call. Ruled out: flags on the retry policy (no state, cannot say 'unknown' for a request in doubt); a caller's key hashed to an owner (two entries with different versions pick two owners); blaming by route (innocent neighbours refused).

--- /dev/null
+++ b/pomelohead/lifecycle/drain.cc
@@ -0,0 +1,41 @@
+#include "pomelohead/lifecycle/drain.h"
+
+namespace pomelohead::lifecycle {
+
+bool is_draining(const drain_view& view, std::uint64_t owner_incarnation)
+{
+    return view.m_in_configuration || view.m_in_host_list || view.m_owner_left == owner_incarnation;
+}
+
+std::string describe(const drain_view& view, std::uint64_t owner_incarnation)
+{
+    std::string text;
+    const auto add = [&text](bool says_so, const char* source) {
+        if (says_so) {
+            text += text.empty() ? "" : ", ";
+            text += source;
+        }
+    };
+    add(view.m_in_configuration, "configuration");
+    add(view.m_in_host_list, "host list");
+    add(view.m_owner_left == owner_incarnation, "owner");
+    return text;
+}
+
+drain_view with_owner_word(const drain_view& view, std::uint64_t owner_incarnation,
+                           std::uint64_t speaker, bool draining)
+{
+    if (speaker < owner_incarnation) {
+        return view;
+    }
+    drain_view next = view;
+    if (draining) {
+        next.m_owner_left = speaker;
+    }
+    else if (next.m_owner_left && *next.m_owner_left <= speaker) {
+        next.m_owner_left.reset();
+    }
+    return next;
+}
+
+} // namespace pomelohead::lifecycle
--- /dev/null
+++ b/pomelohead/outcome/entry_machine.cc
@@ -0,0 +1,260 @@
+// The rule for going elsewhere is one predicate, may_go_on(): a request whose
+// every attempt ended not run may be tried again whatever it is; one with an
+// attempt in doubt only where it is idempotent.
+#include "pomelohead/outcome/entry_machine.h"
+
+#include <algorithm>
+
+namespace pomelohead::outcome {
+namespace {
+
+// A one-way trip between failure domains is about 1.5 ms; the margin covers it
+// and some queueing, but never more than a tenth of the time left.
+constexpr std::chrono::milliseconds deadline_margin{10};
+constexpr int deadline_margin_divisor = 10;
+
+bool is_open(attempt_phase phase)
+{
+    return phase == attempt_phase::connecting || phase == attempt_phase::written ||
+           phase == attempt_phase::answering;
+}
+
+// The first crash makes a request suspect, the second ends it.
+constexpr std::size_t max_crashes = 2;
+
+attempt_phase lost_phase(attempt_phase phase)
+{
+    return phase == attempt_phase::connecting ? attempt_phase::not_sent : attempt_phase::unknown;
+}
+
+bool has_doubt(const entry_state& state)
+{
+    return std::ranges::any_of(state.m_attempts, [](attempt_phase phase) {
+        return phase == attempt_phase::written || phase == attempt_phase::answering ||
+               phase == attempt_phase::unknown;
+    });
+}
+
+class stepper {
+public:
+    explicit stepper(const entry_state& state) : m_next{state, {}} {}
+
+    entry_step take(const entry_event& event)
+    {
+        if (!m_next.m_state.m_finished) {
+            handle(event);
+        }
+        return std::move(m_next);
+    }
+
+private:
+    entry_state& state() { return m_next.m_state; }
+
+    void act(entry_action_kind kind, std::size_t attempt = 0, conclusion end = {})
+    {
+        m_next.m_actions.push_back({kind, attempt, end});
+    }
+
+    void handle(const entry_event& event)
+    {
+        switch (event.m_kind) {
+        case entry_event_kind::owner_chosen:
+            state().m_attempts.push_back(attempt_phase::connecting);
+            return;
+        case entry_event_kind::refused:
+            stop_with(event.m_cause);
+            return;
+        case entry_event_kind::no_owner:
+            stop_unless_open(state().m_attempts.empty() ? cause::no_owner : state().m_last_cause);
+            return;
+        case entry_event_kind::retry_refused:
+            stop_unless_open(cause::retry_refused);
+            return;
+        case entry_event_kind::body_dropped:
+            state().m_body_kept = false;
+            return;
+        case entry_event_kind::answer_begins:
+            state().m_answer_begun = true;
+            return;
+        case entry_event_kind::answer_whole:
+            state().m_finished = true;
+            return;
+        case entry_event_kind::deadline:
+            stop_with(cause::deadline);
+            return;
+        case entry_event_kind::caller_left:
+            abandon_all();
+            state().m_finished = true;
+            return;
+        default:
+            handle_attempt(event);
+            return;
+        }
+    }
+
+    void handle_attempt(const entry_event& event)
+    {
+        const std::size_t attempt = event.m_attempt;
+        if (attempt >= state().m_attempts.size() || !is_open(state().m_attempts[attempt])) {
+            return;
+        }
+        switch (event.m_kind) {
+        case entry_event_kind::write_begins:
+            state().m_attempts[attempt] = attempt_phase::written;
+            return;
+        case entry_event_kind::owner_complete:
+            win(attempt);
+            return;
+        case entry_event_kind::connect_failed:
+            end_attempt(attempt, attempt_phase::not_sent, cause::no_owner);
+            return;
+        case entry_event_kind::owner_not_run:
+            end_attempt(attempt, attempt_phase::not_run, event.m_cause);
+            return;
+        case entry_event_kind::owner_unknown:
+            end_attempt(attempt, attempt_phase::unknown, event.m_cause);
+            return;
+        case entry_event_kind::connection_lost:
+            end_attempt(attempt, lost_phase(state().m_attempts[attempt]),
+                        event.m_cause == cause::none ? cause::connection_lost : event.m_cause);
+            return;
+        default:
+            return;
+        }
+    }
+
+    void win(std::size_t attempt)
+    {
+        for (std::size_t other = 0; other < state().m_attempts.size(); ++other) {
+            if (other != attempt) {
+                abandon(other);
+            }
+        }
+        state().m_attempts[attempt] = attempt_phase::answering;
+        act(entry_action_kind::forward_answer, attempt);
+    }
+
+    void abandon(std::size_t attempt)
+    {
+        if (!is_open(state().m_attempts[attempt])) {
+            return;
+        }
+        state().m_attempts[attempt] = lost_phase(state().m_attempts[attempt]);
+        act(entry_action_kind::abandon, attempt);
+    }
+
+    void abandon_all()
+    {
+        for (std::size_t attempt = 0; attempt < state().m_attempts.size(); ++attempt) {
+            abandon(attempt);
+        }
+    }
+
+    void end_attempt(std::size_t attempt, attempt_phase phase, cause why)
+    {
+        state().m_attempts[attempt] = phase;
+        state().m_last_cause = why;
+        state().m_crashes += why == cause::target_crashed ? 1 : 0;
+        if (phase == attempt_phase::unknown && state().m_doubt == cause::none) {
+            state().m_doubt = why;
+        }
+        if (state().m_answer_begun) {
+            act(entry_action_kind::cut_caller);
+            state().m_finished = true;
+            return;
+        }
+        if (std::ranges::any_of(state().m_attempts, is_open)) {
+            return; // a hedge still runs
+        }
+        if (may_go_on()) {
+            act(entry_action_kind::choose_owner);
+            return;
+        }
+        stop_with(why);
+    }
+
+    bool may_go_on()
+    {
+        const entry_state& now = state();
+        // A ticket's owner has spoken or is lost; nobody else may run the request.
+        if (now.m_facts.m_has_ticket || !now.m_body_kept ||
+            now.m_attempts.size() >= now.m_facts.m_attempts || now.m_crashes >= max_crashes) {
+            return false;
+        }
+        return now.m_facts.m_idempotent || !has_doubt(now);
+    }
+
+    void stop_unless_open(cause why)
+    {
+        if (std::ranges::none_of(state().m_attempts, is_open)) {
+            stop_with(why);
+        }
+    }
+
+    void stop_with(cause why)
+    {
+        const bool cut = state().m_answer_begun;
+        const conclusion end = conclude(state(), why);
+        abandon_all();
+        if (cut) {
+            act(entry_action_kind::cut_caller);
+        }
+        else {
+            act(entry_action_kind::answer, 0, end);
+        }
+        state().m_finished = true;
+    }
+
+    entry_step m_next;
+};
+
+} // namespace
+
+entry_state make_entry_state(const entry_facts& facts)
+{
+    entry_state state;
+    state.m_facts = facts;
+    return state;
+}
+
+entry_step step(const entry_state& state, const entry_event& event)
+{
+    return stepper(state).take(event);
+}
+
+bool is_suspect(const entry_state& state)
+{
+    return state.m_crashes > 0;
+}
+
+bool may_hedge(const entry_state& state)
+{
+    return state.m_facts.m_idempotent && !state.m_facts.m_has_ticket && state.m_body_kept &&
+           !state.m_answer_begun && !state.m_finished &&
+           state.m_attempts.size() < state.m_facts.m_attempts &&
+           std::ranges::find(state.m_attempts, attempt_phase::answering) == state.m_attempts.end();
+}
+
+conclusion conclude(const entry_state& state, cause why)
+{
+    if (state.m_facts.m_has_ticket) {
+        // Another send with the same ticket may be running: only the owner can
+        // say that none will. A ticket that no node issued was never run.
+        const bool never_issued = why == cause::malformed_ticket;
+        const bool owner_refused =
+            state.m_attempts.size() == 1 && state.m_attempts[0] == attempt_phase::not_run;
+        return {never_issued || owner_refused ? outcome::not_run : outcome::unknown, why};
+    }
+    if (has_doubt(state)) {
+        const bool in_time = why != cause::deadline && state.m_doubt != cause::none;
+        return {outcome::unknown, in_time ? state.m_doubt : why};
+    }
+    return {outcome::not_run, why};
+}
+
+std::chrono::milliseconds forwarded_deadline(std::chrono::milliseconds left)
+{
+    return left - std::min(deadline_margin, left / deadline_margin_divisor);
+}
+
+} // namespace pomelohead::outcome
--- /dev/null
+++ b/pomelohead/outcome/owner_machine.cc
@@ -0,0 +1,224 @@
+// Two ways to finish: before the hand-over the record ends not run and the
+// request is discarded; after it only the target's word decides, and a loss is
+// unknown. Each event is checked against the phase, so that one that arrives
+// late or twice changes nothing.
+#include "pomelohead/outcome/owner_machine.h"
+
+namespace pomelohead::outcome {
+namespace {
+
+bool is_before_hand_over(owner_phase phase)
+{
+    return phase == owner_phase::arrived || phase == owner_phase::queued ||
+           phase == owner_phase::connecting;
+}
+
+class stepper {
+public:
+    explicit stepper(const owner_state& state) : m_next{state, {}} {}
+
+    owner_step take(const owner_event& event)
+    {
+        if (phase() == owner_phase::finished) {
+            return std::move(m_next);
+        }
+        if (is_before_hand_over(phase())) {
+            handle_before(event);
+        }
+        else {
+            handle_after(event);
+        }
+        return std::move(m_next);
+    }
+
+private:
+    [[nodiscard]] owner_phase phase() const { return m_next.m_state.m_phase; }
+    void set_phase(owner_phase phase) { m_next.m_state.m_phase = phase; }
+    void act(owner_action_kind kind, conclusion end = {})
+    {
+        m_next.m_actions.push_back({kind, end});
+    }
+
+    void handle_before(const owner_event& event)
+    {
+        switch (event.m_kind) {
+        case owner_event_kind::refused:
+            discard(event.m_cause);
+            return;
+        case owner_event_kind::queued:
+            if (phase() == owner_phase::arrived) {
+                set_phase(owner_phase::queued);
+            }
+            return;
+        case owner_event_kind::slot_granted:
+            grant(event.m_facts);
+            return;
+        case owner_event_kind::ready_to_write:
+            hand_over(event.m_facts);
+            return;
+        case owner_event_kind::facts_changed:
+            if (const std::optional<cause> why = refusal(event.m_facts)) {
+                discard_unless_awaited(*why);
+            }
+            return;
+        case owner_event_kind::connect_failed:
+            if (phase() == owner_phase::connecting) {
+                discard(cause::target_unreachable);
+            }
+            return;
+        case owner_event_kind::deadline:
+            discard(cause::deadline);
+            return;
+        case owner_event_kind::entry_left:
+            m_next.m_state.m_entry_gone = true;
+            discard_unless_awaited(cause::caller_left);
+            return;
+        default:
+            return; // events of a target that has not been given the request
+        }
+    }
+
+    void handle_after(const owner_event& event)
+    {
+        switch (event.m_kind) {
+        case owner_event_kind::target_refused:
+            if (phase() == owner_phase::handed_over) {
+                act(owner_action_kind::release_slot);
+                finish({outcome::not_run, cause::target_refused});
+            }
+            return;
+        case owner_event_kind::target_lost:
+            if (event.m_cause == cause::target_crashed) {
+                act(owner_action_kind::report_crash);
+            }
+            fail(event.m_cause == cause::none ? cause::target_lost : event.m_cause);
+            return;
+        case owner_event_kind::answer_begins:
+            set_phase(owner_phase::answering);
+            return;
+        case owner_event_kind::answer_whole:
+            act(owner_action_kind::release_slot);
+            finish({outcome::complete, cause::none});
+            return;
+        case owner_event_kind::deadline:
+            fail(cause::deadline);
+            return;
+        case owner_event_kind::entry_left:
+            m_next.m_state.m_entry_gone = true;
+            if (!m_next.m_state.m_has_ticket) {
+                fail(cause::caller_left);
+            }
+            return;
+        default:
+            return; // a drain or a swap does not touch what the target runs
+        }
+    }
+
+    void grant(const handover_facts& facts)
+    {
+        if (phase() == owner_phase::connecting) {
+            return;
+        }
+        set_phase(owner_phase::connecting);
+        if (const std::optional<cause> why = refusal(facts)) {
+            if (!is_awaited(*why)) {
+                discard(*why);
+                return;
+            }
+        }
+        act(owner_action_kind::connect_target);
+    }
+
+    void hand_over(const handover_facts& facts)
+    {
+        if (phase() != owner_phase::connecting) {
+            return;
+        }
+        if (const std::optional<cause> why = refusal(facts)) {
+            if (!is_awaited(*why)) {
+                discard(*why);
+                return;
+            }
+        }
+        set_phase(owner_phase::handed_over);
+        act(owner_action_kind::write_request);
+    }
+
+    // The caller of a request with a ticket may come back for its outcome.
+    [[nodiscard]] bool is_awaited(cause why) const
+    {
+        return why == cause::caller_left && m_next.m_state.m_has_ticket;
+    }
+
+    void discard_unless_awaited(cause why)
+    {
+        if (!is_awaited(why)) {
+            discard(why);
+        }
+    }
+
+    void discard(cause why)
+    {
+        if (phase() == owner_phase::connecting) {
+            act(owner_action_kind::close_target);
+            act(owner_action_kind::release_slot);
+        }
+        if (phase() == owner_phase::queued) {
+            act(owner_action_kind::withdraw);
+        }
+        finish({outcome::not_run, why});
+    }
+
+    void fail(cause why)
+    {
+        act(owner_action_kind::close_target);
+        act(owner_action_kind::release_slot);
+        finish({outcome::unknown, why});
+    }
+
+    void finish(conclusion end)
+    {
+        if (m_next.m_state.m_has_ticket) {
+            act(owner_action_kind::record, end);
+        }
+        if (phase() != owner_phase::answering) {
+            act(owner_action_kind::answer, end);
+        }
+        else if (end.m_outcome != outcome::complete) {
+            act(owner_action_kind::cut_entry);
+        }
+        m_next.m_state.m_end = end;
+        set_phase(owner_phase::finished);
+    }
+
+    owner_step m_next;
+};
+
+} // namespace
+
+std::optional<cause> refusal(const handover_facts& facts)
+{
+    if (facts.m_deadline_passed) {
+        return cause::deadline;
+    }
+    if (!facts.m_owns_target) {
+        return cause::misdirected;
+    }
+    if (facts.m_draining) {
+        return cause::draining;
+    }
+    if (facts.m_quarantined) {
+        return cause::quarantined;
+    }
+    if (!facts.m_entry_present) {
+        return cause::caller_left;
+    }
+    return std::nullopt;
+}
+
+owner_step step(const owner_state& state, const owner_event& event)
+{
+    return stepper(state).take(event);
+}
+
+} // namespace pomelohead::outcome
--- /dev/null
+++ b/pomelohead/outcome/quarantine.cc
@@ -0,0 +1,176 @@
+// The marks form a grow-only set, with a flag for "cleared" that only rises; a
+// join of such sets is commutative, associative and idempotent (Shapiro et al.,
+// "Conflict-free Replicated Data Types", 2011). Verdicts are computed from the
+// set, never stored, so that nodes with the same marks agree.
+#include "pomelohead/outcome/quarantine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pomelohead::outcome {
+namespace {
+
+constexpr std::size_t crashes_to_convict = 2;
+
+milliseconds to_left(time_point expires, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(expires - now);
+}
+
+} // namespace
+
+std::string_view to_string(quarantine_verdict value)
+{
+    switch (value) {
+    case quarantine_verdict::run:
+        return "run";
+    case quarantine_verdict::apart:
+        return "apart";
+    case quarantine_verdict::refuse:
+        return "refuse";
+    }
+    return "run";
+}
+
+std::vector<std::string> quarantine::blames(const std::string& fingerprint, time_point now) const
+{
+    std::vector<std::string> crashes;
+    for (auto it = m_marks.lower_bound({fingerprint, ""});
+         it != m_marks.end() && it->first.m_fingerprint == fingerprint; ++it) {
+        if (!it->second.m_cleared && now < it->second.m_expires) {
+            crashes.push_back(it->first.m_crash);
+        }
+    }
+    return crashes;
+}
+
+quarantine_verdict quarantine::check(const std::string& fingerprint, time_point now) const
+{
+    const std::vector<std::string> crashes = blames(fingerprint, now);
+    if (crashes.empty()) {
+        return quarantine_verdict::run;
+    }
+    if (crashes.size() < crashes_to_convict) {
+        return quarantine_verdict::apart;
+    }
+    const bool was_alone = std::ranges::any_of(crashes, [&](const std::string& crash) {
+        return m_marks.at({fingerprint, crash}).m_alone;
+    });
+    return was_alone || is_alone_suspect_of(crashes, now) ? quarantine_verdict::refuse
+                                                          : quarantine_verdict::apart;
+}
+
+// Whether some two of the crashes have one blamed request in common, which is
+// then the one that asks.
+bool quarantine::is_alone_suspect_of(const std::vector<std::string>& crashes, time_point now) const
+{
+    std::map<std::string, std::set<std::string>> blamed;
+    for (const auto& [where, what] : m_marks) {
+        if (!what.m_cleared && now < what.m_expires) {
+            blamed[where.m_crash].insert(where.m_fingerprint);
+        }
+    }
+    for (std::size_t i = 0; i < crashes.size(); ++i) {
+        for (std::size_t j = i + 1; j < crashes.size(); ++j) {
+            std::vector<std::string> common;
+            std::ranges::set_intersection(blamed[crashes[i]], blamed[crashes[j]],
+                                          std::back_inserter(common));
+            if (common.size() == 1) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void quarantine::crashed(const std::string& crash, const std::vector<std::string>& in_flight,
+                         time_point now)
+{
+    const std::set<std::string> distinct(in_flight.begin(), in_flight.end());
+    for (const std::string& fingerprint : distinct) {
+        m_marks.try_emplace({fingerprint, crash},
+                            mark{distinct.size() == 1, false, now + m_options.m_lifetime});
+    }
+    drop_oldest();
+}
+
+void quarantine::ran_well(const std::string& fingerprint, time_point now)
+{
+    release(fingerprint, now);
+}
+
+bool quarantine::release(const std::string& fingerprint, time_point now)
+{
+    const std::vector<std::string> crashes = blames(fingerprint, now);
+    for (const std::string& crash : crashes) {
+        m_marks[{fingerprint, crash}].m_cleared = true;
+    }
+    return !crashes.empty();
+}
+
+std::vector<crash_mark> quarantine::digest(time_point now, std::size_t limit) const
+{
+    std::vector<crash_mark> marks;
+    for (const auto& [where, what] : m_marks) {
+        if (now < what.m_expires) {
+            marks.push_back({where.m_fingerprint, where.m_crash, what.m_alone, what.m_cleared,
+                             to_left(what.m_expires, now)});
+        }
+    }
+    std::ranges::stable_sort(marks, std::ranges::greater(), &crash_mark::m_left);
+    marks.resize(std::min(limit, marks.size()));
+    return marks;
+}
+
+bool quarantine::merge(const std::vector<crash_mark>& marks, time_point now)
+{
+    bool changed = false;
+    for (const crash_mark& heard : marks) {
+        const auto it = m_marks.find({heard.m_fingerprint, heard.m_crash});
+        if (it != m_marks.end()) {
+            changed |= heard.m_cleared && !it->second.m_cleared;
+            it->second.m_cleared |= heard.m_cleared;
+            continue;
+        }
+        if (heard.m_left < m_options.m_min_left) {
+            continue;
+        }
+        const duration left = std::min<duration>(heard.m_left, m_options.m_lifetime);
+        m_marks[{heard.m_fingerprint, heard.m_crash}] = {heard.m_alone, heard.m_cleared,
+                                                         now + left};
+        changed = true;
+    }
+    drop_oldest();
+    return changed;
+}
+
+std::vector<quarantine_status> quarantine::list(time_point now) const
+{
+    std::vector<quarantine_status> all;
+    for (const auto& [where, what] : m_marks) {
+        if (what.m_cleared || now >= what.m_expires) {
+            continue;
+        }
+        if (all.empty() || all.back().m_fingerprint != where.m_fingerprint) {
+            all.push_back({where.m_fingerprint, check(where.m_fingerprint, now), {}, {}});
+        }
+        all.back().m_crashes.push_back(where.m_crash);
+        all.back().m_left = std::max(all.back().m_left, to_left(what.m_expires, now));
+    }
+    return all;
+}
+
+void quarantine::expire(time_point now)
+{
+    std::erase_if(m_marks, [&](const auto& item) { return now >= item.second.m_expires; });
+}
+
+void quarantine::drop_oldest()
+{
+    while (m_marks.size() > m_options.m_max_marks) {
+        m_marks.erase(std::ranges::min_element(
+            m_marks, {}, [](const auto& item) { return item.second.m_expires; }));
+    }
+}
+
+} // namespace pomelohead::outcome
