Checker: every order of events around one request, and each mechanism's need

Cause: at most once, true 'not run' and whole answers are claims about all orders of loss, delay, crash, restart, late wake, drain, swap and resend. Change: testing/request_model.* runs the real entry_machine, owner_machine and ticket_ledger in a model of two entries, two owners and targets, breadth first.

--- /dev/null
+++ b/testing/request_model_entry.cc
@@ -0,0 +1,273 @@
+// The model's caller and entries: entry_machine with the shell's part around it.
+#include "testing/request_model_state.h"
+
+#include <algorithm>
+
+namespace pomelohead::testing::detail {
+
+void model::begin_send()
+{
+    m_sends.emplace_back();
+    m_sends.back().m_entry = make_entry_state({.m_idempotent = m_options.m_idempotent,
+                                               .m_has_ticket = m_ticket.has_value(),
+                                               .m_attempts = owner_count});
+    choose_owner(m_sends.size() - 1);
+}
+
+void model::choose_owner(std::size_t s)
+{
+    std::size_t chosen = m_sends[s].m_entry.m_attempts.size();
+    if (m_ticket) {
+        // Without the mechanism the second entry's version names another owner.
+        chosen = lacks(mechanism::ticket_owner) ? s : 0;
+    }
+    if (chosen >= owner_count) {
+        feed_entry(s, {.m_kind = entry_event_kind::no_owner});
+        return;
+    }
+    m_exchanges.push_back({.m_send = s,
+                           .m_attempt = m_sends[s].m_entry.m_attempts.size(),
+                           .m_owner = chosen,
+                           .m_incarnation = m_owners[chosen].m_incarnation});
+    feed_entry(s, {.m_kind = entry_event_kind::owner_chosen});
+}
+
+void model::feed_entry(std::size_t s, entry_event event)
+{
+    if (!m_sends[s].m_entry_alive) {
+        return;
+    }
+    entry_state before = m_sends[s].m_entry;
+    if (lacks(mechanism::no_byte_no_doubt) && event.m_kind == entry_event_kind::connection_lost) {
+        event.m_kind = entry_event_kind::connect_failed;
+    }
+    if (lacks(mechanism::idempotent_only)) {
+        before.m_facts.m_idempotent = true;
+    }
+    if (lacks(mechanism::ticket_entry_silent)) {
+        before.m_facts.m_has_ticket = false;
+    }
+    if (lacks(mechanism::cut_when_begun)) {
+        before.m_answer_begun = false;
+    }
+    if (lacks(mechanism::one_answer)) {
+        before.m_finished = false;
+    }
+    const entry_step next = step(before, event);
+    m_sends[s].m_entry = next.m_state;
+    for (const entry_action& action : next.m_actions) {
+        act_entry(s, action);
+    }
+}
+
+void model::act_entry(std::size_t s, const entry_action& action)
+{
+    switch (action.m_kind) {
+    case entry_action_kind::choose_owner:
+        choose_owner(s);
+        return;
+    case entry_action_kind::forward_answer:
+        forward(s, action.m_attempt);
+        return;
+    case entry_action_kind::abandon:
+        find(s, action.m_attempt).m_entry_open = false;
+        return;
+    case entry_action_kind::answer:
+        tell(s, action.m_end);
+        return;
+    case entry_action_kind::cut_caller:
+        m_sends[s].m_caller_waits = false;
+        return;
+    }
+}
+
+exchange& model::find(std::size_t s, std::size_t attempt)
+{
+    return *std::ranges::find_if(
+        m_exchanges, [&](const exchange& x) { return x.m_send == s && x.m_attempt == attempt; });
+}
+
+void model::tell(std::size_t s, conclusion end)
+{
+    if (m_sends[s].m_told || (m_sends[s].m_begun && end.m_outcome != verdict::complete)) {
+        fail("answered twice");
+    }
+    m_sends[s].m_told = end;
+}
+
+void model::forward(std::size_t s, std::size_t attempt)
+{
+    if (m_sends[s].m_begun && *m_sends[s].m_begun != attempt) {
+        fail("an answer of two parts");
+    }
+    m_sends[s].m_begun = attempt;
+    feed_entry(s, {.m_kind = entry_event_kind::answer_begins, .m_attempt = attempt});
+    if (find(s, attempt).m_answer == answer_stage::ended) {
+        end_answer(s, attempt);
+    }
+    else {
+        find(s, attempt).m_answer = answer_stage::head_taken;
+    }
+}
+
+void model::end_answer(std::size_t s, std::size_t attempt)
+{
+    tell(s, {verdict::complete, cause::none});
+    feed_entry(s, {.m_kind = entry_event_kind::answer_whole, .m_attempt = attempt});
+}
+
+void model::next_global(const emit& out) const
+{
+    if (!m_time_over) {
+        emit_step(out, "the deadline passes", [](model& m) { m.m_time_over = true; });
+    }
+    if (m_sends.size() < m_options.m_sends) {
+        emit_step(out, "caller sends again", [](model& m) { m.begin_send(); });
+    }
+    for (std::size_t s = 0; s < m_sends.size(); ++s) {
+        next_send(s, out);
+    }
+    for (std::size_t o = 0; o < owner_count; ++o) {
+        next_process(o, out);
+    }
+}
+
+void model::next_send(std::size_t s, const emit& out) const
+{
+    const send& now = m_sends[s];
+    const std::string name = "entry " + std::to_string(s);
+    if (!now.m_entry_alive || now.m_entry.m_finished) {
+        return;
+    }
+    if (m_time_over) {
+        emit_step(out, name + " sees the deadline",
+                  [&](model& m) { m.feed_entry(s, {.m_kind = entry_event_kind::deadline}); });
+    }
+    emit_fault(out, name + " crashes", [&](model& m) { m.m_sends[s].m_entry_alive = false; });
+    emit_fault(out, name + " loses its caller", [&](model& m) {
+        m.m_sends[s].m_caller_waits = false;
+        m.feed_entry(s, {.m_kind = entry_event_kind::caller_left});
+    });
+    if (may_hedge(now.m_entry) && now.m_entry.m_attempts.size() == 1) {
+        emit_step(out, name + " hedges", [&](model& m) { m.choose_owner(s); });
+    }
+}
+
+void model::next_process(std::size_t o, const emit& out) const
+{
+    const std::string name = "owner " + std::to_string(o);
+    if (!is_in_use(o)) {
+        return;
+    }
+    if (m_owners[o].m_incarnation == 1) {
+        emit_fault(out, name + " restarts", [&](model& m) {
+            owner& now = m.m_owners[o];
+            ++now.m_incarnation;
+            now.m_seen = false;
+            now.m_ledger = std::make_shared<ticket_ledger>(make_ledger(o, now.m_incarnation));
+            now.m_ledger_history.clear();
+        });
+    }
+    if (!m_owners[o].m_draining) {
+        emit_fault(out, name + " drains", [&](model& m) { m.m_owners[o].m_draining = true; });
+    }
+    if (m_owners[o].m_owns_target) {
+        emit_fault(out, name + " gets a version without its target",
+                   [&](model& m) { m.m_owners[o].m_owns_target = false; });
+    }
+}
+
+void model::next_entry_side(std::size_t i, const emit& out) const
+{
+    const exchange& x = m_exchanges[i];
+    const std::string name = label(x);
+    if (!m_sends[x.m_send].m_entry_alive || !x.m_entry_open) {
+        next_abandoned(i, out);
+        return;
+    }
+    const auto lost = [i](model& m) {
+        exchange& y = m.m_exchanges[i];
+        y.m_entry_open = false;
+        m.feed_entry(y.m_send,
+                     {.m_kind = entry_event_kind::connection_lost, .m_attempt = y.m_attempt});
+    };
+    if (x.m_wire == wire::connecting) {
+        if (is_owner_alive(x)) {
+            emit_step(out, name + " writes", [i](model& m) { m.write(i); });
+        }
+        emit_fault(out, name + " gets no connection", [i](model& m) {
+            m.m_exchanges[i].m_entry_open = false;
+            m.m_exchanges[i].m_wire = wire::closed;
+            m.feed_entry(m.m_exchanges[i].m_send, {.m_kind = entry_event_kind::connect_failed,
+                                                   .m_attempt = m.m_exchanges[i].m_attempt});
+        });
+    }
+    if (!is_owner_alive(x) || !x.m_owner_open) {
+        emit_step(out, name + " is lost to the entry", lost);
+    }
+    else {
+        emit_fault(out, name + " is cut", lost);
+    }
+    if (x.m_answer == answer_stage::ended || x.m_answer == answer_stage::head ||
+        x.m_answer == answer_stage::stream_ended) {
+        emit_step(out, name + " brings an answer", [i](model& m) { m.take_answer(i, 1); });
+        emit_fault(out, name + " brings an answer twice", [i](model& m) { m.take_answer(i, 2); });
+    }
+}
+
+// Without the mechanism, the late answer of an abandoned exchange is read by
+// the next request on the same connection.
+void model::next_abandoned(std::size_t i, const emit& out) const
+{
+    const exchange& x = m_exchanges[i];
+    if (!lacks(mechanism::close_abandoned) || x.m_answer != answer_stage::ended) {
+        return;
+    }
+    for (std::size_t j = i + 1; j < m_exchanges.size(); ++j) {
+        const exchange& y = m_exchanges[j];
+        if (y.m_owner == x.m_owner && y.m_entry_open && y.m_wire != wire::connecting) {
+            emit_step(out, label(y) + " reads the answer of " + label(x),
+                      [&](model& m) { m.fail("a foreign answer"); });
+        }
+    }
+}
+
+void model::write(std::size_t i)
+{
+    exchange& x = m_exchanges[i];
+    x.m_wire = wire::request;
+    if (!lacks(mechanism::note_before_write)) {
+        feed_entry(x.m_send, {.m_kind = entry_event_kind::write_begins, .m_attempt = x.m_attempt});
+    }
+}
+
+void model::take_answer(std::size_t i, int times)
+{
+    exchange& x = m_exchanges[i];
+    if (x.m_answer == answer_stage::stream_ended) {
+        x.m_answer = answer_stage::none;
+        x.m_entry_open = false;
+        end_answer(x.m_send, x.m_attempt);
+        return;
+    }
+    entry_event event{.m_attempt = x.m_attempt, .m_cause = x.m_end.m_cause};
+    event.m_kind = entry_event_kind::owner_complete;
+    if (x.m_end.m_outcome == verdict::not_run) {
+        event.m_kind = entry_event_kind::owner_not_run;
+    }
+    if (x.m_end.m_outcome == verdict::unknown) {
+        event.m_kind = entry_event_kind::owner_unknown;
+    }
+    const bool streamed = x.m_answer == answer_stage::head;
+    x.m_entry_open = streamed || lacks(mechanism::one_answer);
+    const std::size_t s = x.m_send;
+    for (int time = 0; time < times; ++time) {
+        feed_entry(s, event);
+    }
+    if (!streamed) {
+        m_exchanges[i].m_answer =
+            lacks(mechanism::one_answer) ? answer_stage::ended : answer_stage::none;
+    }
+}
+
+} // namespace pomelohead::testing::detail
