Forwarding, first part: HTTP messages in pieces, server, connection pool

Cause: bodies of any size have to pass in bounded memory, and heads that can be read in two ways have to be refused before a parser normalises them.

Ruled out: Beast's own read_header (folded lines and repeated lengths are no longer visible behind it).

Change: message_reader and message_writer, http_server, connection_pool.

Conclusion: base of the data path.

--- /dev/null
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -0,0 +1,72 @@
+#include "pomelohead/forwarding/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace pomelohead::forwarding {
+namespace {
+
+using boost::beast::error_code;
+
+// Below the servers' idle limit, so that this side closes first.
+constexpr duration max_idle_time = std::chrono::seconds(30);
+
+constexpr duration connect_limit = std::chrono::milliseconds(1000);
+
+} // namespace
+
+bool is_stale(client_connection& c)
+{
+    if (c.m_buffer.size() > 0) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t got =
+        ::recv(c.m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::unique_ptr<client_connection> connect(boost::asio::io_context& io, const endpoint& where,
+                                           time_point deadline, reason& why)
+{
+    auto c = std::make_unique<client_connection>(boost::asio::ip::tcp::socket(io));
+    c->m_stream.expires_at(std::min(deadline, clock_type::now() + connect_limit));
+    const auto at = to_asio(where);
+    const auto [error] =
+        await<error_code>([&](auto handler) { c->m_stream.async_connect(at, std::move(handler)); });
+    if (error) {
+        const bool late = error == boost::beast::error::timeout;
+        why = {late ? reason_code::timed_out : reason_code::unreachable,
+               "no connection to " + where.m_address + ":" + std::to_string(where.m_port) + ": " +
+                   error.message()};
+        return nullptr;
+    }
+    error_code ignored;
+    c->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    return c;
+}
+
+std::unique_ptr<client_connection> connection_pool::take(time_point deadline, reason& why)
+{
+    const time_point oldest = clock_type::now() - max_idle_time;
+    while (!m_idle.empty()) {
+        std::unique_ptr<client_connection> c = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (c->m_idle_since >= oldest && !is_stale(*c)) {
+            return c;
+        }
+    }
+    return connect(m_io, m_where, deadline, why);
+}
+
+void connection_pool::give_back(std::unique_ptr<client_connection> c)
+{
+    c->m_idle_since = clock_type::now();
+    m_idle.push_back(std::move(c));
+    if (m_idle.size() > m_max_idle) {
+        m_idle.pop_front();
+    }
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/connection_pool.h
@@ -0,0 +1,59 @@
+// Idle connections to one endpoint, kept for the next exchange.
+//
+// A connection serves one exchange at a time and comes back only after a whole
+// one; whoever abandons an exchange lets its connection be destroyed, so that a
+// late answer can never meet another request.
+//
+//     reason why;
+//     std::unique_ptr<client_connection> c = pool.take(deadline, why);
+//     ... one whole exchange ...
+//     pool.give_back(std::move(c));
+#pragma once
+
+#include "pomelohead/forwarding/http_server.h"
+
+#include <deque>
+
+namespace pomelohead::forwarding {
+
+/// An open connection with the bytes read ahead on it.
+struct client_connection {
+    explicit client_connection(boost::asio::ip::tcp::socket socket) : m_stream(std::move(socket)) {}
+
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    time_point m_idle_since{};
+};
+
+/// Whether the other side has closed the connection or sent something unasked.
+[[nodiscard]] bool is_stale(client_connection& c);
+
+/// Opens a connection. Fails with unreachable, timed_out.
+[[nodiscard]] std::unique_ptr<client_connection>
+connect(boost::asio::io_context& io, const endpoint& where, time_point deadline, reason& why);
+
+/// The connections to one endpoint.
+class connection_pool {
+public:
+    connection_pool(boost::asio::io_context& io, endpoint where, std::size_t max_idle)
+        : m_io(io), m_where(std::move(where)), m_max_idle(max_idle)
+    {
+    }
+
+    /// An idle connection that still stands, or a new one.
+    [[nodiscard]] std::unique_ptr<client_connection> take(time_point deadline, reason& why);
+
+    /// Keeps a connection after a whole exchange.
+    void give_back(std::unique_ptr<client_connection> c);
+
+    /// Drops all idle connections.
+    void clear() { m_idle.clear(); }
+
+private:
+    boost::asio::io_context& m_io;
+    endpoint m_where;
+    std::size_t m_max_idle;
+    std::deque<std::unique_ptr<client_connection>> m_idle;
+};
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/http_message.cc
@@ -0,0 +1,367 @@
+// Heads are read into the buffer whole before Beast parses them, so that their
+// raw shape can be checked: request smuggling (RFC 9112, section 11.2) lives on
+// shapes that a parser normalises away.
+#include "pomelohead/forwarding/http_message.h"
+
+#include "pomelohead/runtime/fiber.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace pomelohead::forwarding {
+namespace {
+
+using boost::beast::error_code;
+
+constexpr std::size_t read_chunk_bytes = 4096;
+
+bool fail(reason& why, reason_code code, std::string text)
+{
+    why = {code, std::move(text)};
+    return false;
+}
+
+reason from_error(const error_code& error)
+{
+    if (error == boost::beast::error::timeout) {
+        return {reason_code::timed_out, "no progress before the time limit"};
+    }
+    if (error == boost::asio::error::operation_aborted) {
+        return {reason_code::cancelled, "the exchange was cancelled"};
+    }
+    if (error.category() == http::make_error_code(http::error::end_of_stream).category() &&
+        error != http::error::partial_message && error != http::error::end_of_stream) {
+        return {reason_code::malformed, error.message()};
+    }
+    return {reason_code::interrupted, "connection lost: " + error.message()};
+}
+
+void set_deadline(boost::beast::tcp_stream& stream, time_point deadline)
+{
+    if (deadline == time_point::max()) {
+        stream.expires_never();
+    }
+    else {
+        stream.expires_at(deadline);
+    }
+}
+
+std::size_t find_head_end(std::string_view bytes)
+{
+    const std::size_t at = bytes.find("\r\n\r\n");
+    return at == std::string_view::npos ? 0 : at + 4;
+}
+
+bool equals_ignoring_case(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals(a, b);
+}
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// Calls visit(name, value) for each field line; false where a line is folded or
+// has no proper name.
+template <class Visit>
+bool for_each_line(std::string_view head, Visit visit)
+{
+    std::size_t at = head.find("\r\n") + 2;
+    while (at + 2 < head.size()) {
+        const std::size_t end = head.find("\r\n", at);
+        const std::string_view line = head.substr(at, end - at);
+        const std::size_t colon = line.find(':');
+        if (line.front() == ' ' || line.front() == '\t' || colon == std::string_view::npos ||
+            colon == 0 || line[colon - 1] == ' ' || line[colon - 1] == '\t' ||
+            line.find_first_of("\r\n") != std::string_view::npos ||
+            line.find('\0') != std::string_view::npos) {
+            return false;
+        }
+        visit(line.substr(0, colon), trim(line.substr(colon + 1)));
+        at = end + 2;
+    }
+    return true;
+}
+
+} // namespace
+
+template <bool IsRequest>
+message_reader<IsRequest>::message_reader(boost::beast::tcp_stream& stream,
+                                          boost::beast::flat_buffer& buffer)
+    : m_stream(stream), m_buffer(buffer)
+{
+}
+
+template <bool IsRequest>
+bool message_reader<IsRequest>::fill_head(const head_limits& limits, std::size_t& head_bytes,
+                                          reason& why)
+{
+    set_deadline(m_stream, limits.m_first_byte);
+    bool begun = m_buffer.size() > 0;
+    if (begun) {
+        set_deadline(m_stream, std::min(limits.m_first_byte, clock_type::now() + limits.m_rest));
+    }
+    while (true) {
+        const auto data = m_buffer.cdata();
+        const std::string_view bytes(static_cast<const char*>(data.data()), data.size());
+        head_bytes = find_head_end(bytes);
+        if (head_bytes > limits.m_max_bytes ||
+            (head_bytes == 0 && bytes.size() > limits.m_max_bytes)) {
+            return fail(why, reason_code::too_large,
+                        "head exceeds " + std::to_string(limits.m_max_bytes) + " bytes");
+        }
+        if (head_bytes > 0) {
+            return true;
+        }
+        const auto space = m_buffer.prepare(read_chunk_bytes);
+        const auto [error, size] = await<error_code, std::size_t>(
+            [&](auto handler) { m_stream.async_read_some(space, std::move(handler)); });
+        if (error) {
+            why = from_error(error);
+            if (!begun && why.m_code == reason_code::interrupted) {
+                why.m_code = reason_code::cancelled;
+            }
+            return false;
+        }
+        m_buffer.commit(size);
+        if (!begun) {
+            begun = true;
+            set_deadline(m_stream,
+                         std::min(limits.m_first_byte, clock_type::now() + limits.m_rest));
+        }
+    }
+}
+
+template <bool IsRequest>
+bool message_reader<IsRequest>::check_framing(std::string_view head, reason& why) const
+{
+    int lengths = 0;
+    int encodings = 0;
+    bool bad_value = false;
+    const bool well_formed =
+        for_each_line(head, [&](std::string_view name, std::string_view value) {
+            if (equals_ignoring_case(name, "Content-Length")) {
+                ++lengths;
+                bad_value =
+                    bad_value || value.empty() || value.size() > 18 ||
+                    !std::ranges::all_of(value, [](char c) { return c >= '0' && c <= '9'; });
+            }
+            else if (equals_ignoring_case(name, "Transfer-Encoding")) {
+                ++encodings;
+                bad_value = bad_value || !equals_ignoring_case(value, "chunked");
+            }
+        });
+    if (!well_formed) {
+        return fail(why, reason_code::malformed, "folded or malformed header line");
+    }
+    if (lengths + encodings > 1) {
+        return fail(why, reason_code::malformed, "more than one header states the body's length");
+    }
+    if (bad_value) {
+        return fail(why, reason_code::malformed, "the header that states the body's length is bad");
+    }
+    return true;
+}
+
+template <bool IsRequest>
+bool message_reader<IsRequest>::read_head(const head_limits& limits, reason& why)
+{
+    std::size_t head_bytes = 0;
+    if (!fill_head(limits, head_bytes, why)) {
+        return false;
+    }
+    const auto data = m_buffer.cdata();
+    const std::string_view head(static_cast<const char*>(data.data()), head_bytes);
+    if (!check_framing(head, why)) {
+        return false;
+    }
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.m_max_bytes));
+    m_parser->body_limit(boost::none);
+    error_code error;
+    const std::size_t used = m_parser->put(boost::asio::buffer(head), error);
+    if (error || !m_parser->is_header_done()) {
+        return fail(why, reason_code::malformed, error ? error.message() : "bad head");
+    }
+    m_buffer.consume(used);
+    return true;
+}
+
+template <bool IsRequest>
+void message_reader<IsRequest>::expect_no_body()
+{
+    m_parser->skip(true);
+}
+
+template <bool IsRequest>
+body_framing message_reader<IsRequest>::framing() const
+{
+    if (m_parser->chunked()) {
+        return body_framing::chunked;
+    }
+    return m_parser->content_length().value_or(0) > 0 ? body_framing::length : body_framing::none;
+}
+
+template <bool IsRequest>
+std::optional<std::uint64_t> message_reader<IsRequest>::content_length() const
+{
+    const auto length = m_parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+template <bool IsRequest>
+body_state message_reader<IsRequest>::read_body(std::string& piece, std::size_t max_bytes,
+                                                time_point deadline, reason& why)
+{
+    piece.clear();
+    if (m_parser->is_done()) {
+        return body_state::end;
+    }
+    if constexpr (!IsRequest) {
+        if (m_parser->need_eof()) {
+            fail(why, reason_code::malformed, "the answer does not state its length");
+            return body_state::failed;
+        }
+    }
+    piece.resize(max_bytes);
+    auto& body = m_parser->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    set_deadline(m_stream, deadline);
+    auto [error, size] = await<error_code, std::size_t>([&](auto handler) {
+        http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler));
+    });
+    piece.resize(max_bytes - body.size);
+    body.data = nullptr;
+    body.size = 0;
+    if (error && error != http::error::need_buffer) {
+        why = from_error(error);
+        return body_state::failed;
+    }
+    return m_parser->is_done() ? body_state::end : body_state::more;
+}
+
+template class message_reader<true>;
+template class message_reader<false>;
+
+namespace {
+
+std::string first_line(const http::header<true>& head)
+{
+    return std::string(head.method_string()) + ' ' + std::string(head.target()) + " HTTP/1.1\r\n";
+}
+
+std::string first_line(const http::header<false>& head)
+{
+    std::string phrase(head.reason());
+    if (phrase.empty()) {
+        phrase = std::string(http::obsolete_reason(head.result()));
+    }
+    return "HTTP/1.1 " + std::to_string(head.result_int()) + ' ' + phrase + "\r\n";
+}
+
+std::string chunk_prefix(std::size_t size)
+{
+    std::array<char, 2 * sizeof size> digits{};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), size, 16);
+    return std::string(digits.data(), end) + "\r\n";
+}
+
+constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+} // namespace
+
+template <bool IsRequest>
+bool message_writer::write_head(const http::header<IsRequest>& head, body_framing framing,
+                                std::string_view first_piece, time_point deadline, reason& why)
+{
+    m_framing = framing;
+    std::string text = first_line(head);
+    for (const auto& field : head) {
+        text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
+    }
+    if (framing == body_framing::chunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    }
+    text += "\r\n";
+    if (framing == body_framing::chunked && !first_piece.empty()) {
+        text += chunk_prefix(first_piece.size());
+        text.append(first_piece).append("\r\n");
+        return write(text, {}, deadline, why);
+    }
+    return write(text, first_piece, deadline, why);
+}
+
+template bool message_writer::write_head<true>(const http::header<true>&, body_framing,
+                                               std::string_view, time_point, reason&);
+template bool message_writer::write_head<false>(const http::header<false>&, body_framing,
+                                                std::string_view, time_point, reason&);
+
+bool message_writer::write_body(std::string_view piece, time_point deadline, reason& why)
+{
+    if (piece.empty()) {
+        return true;
+    }
+    if (m_framing != body_framing::chunked) {
+        return write(piece, {}, deadline, why);
+    }
+    std::string framed = chunk_prefix(piece.size());
+    framed.append(piece).append("\r\n");
+    return write(framed, {}, deadline, why);
+}
+
+bool message_writer::finish(time_point deadline, reason& why)
+{
+    return m_framing != body_framing::chunked || write(last_chunk, {}, deadline, why);
+}
+
+bool message_writer::write(std::string_view first, std::string_view second, time_point deadline,
+                           reason& why)
+{
+    m_started = true;
+    set_deadline(m_stream, deadline);
+    const std::array buffers = {boost::asio::buffer(first), boost::asio::buffer(second)};
+    const auto [error, size] = await<error_code, std::size_t>(
+        [&](auto handler) { boost::asio::async_write(m_stream, buffers, std::move(handler)); });
+    if (error) {
+        why = from_error(error);
+        return false;
+    }
+    return true;
+}
+
+void remove_hop_fields(http::fields& fields, bool remove_own)
+{
+    std::vector<std::string> names = {"Connection",        "Keep-Alive", "Proxy-Connection",
+                                      "Transfer-Encoding", "TE",         "Trailer",
+                                      "Upgrade",           "Expect"};
+    const std::string connection(fields[http::field::connection]);
+    for (const auto& token : http::token_list(connection)) {
+        names.emplace_back(token);
+    }
+    if (remove_own) {
+        for (const auto& field : fields) {
+            if (boost::beast::iequals(field.name_string().substr(0, own_header_prefix.size()),
+                                      own_header_prefix)) {
+                names.emplace_back(field.name_string());
+            }
+        }
+    }
+    for (const std::string& name : names) {
+        fields.erase(name);
+    }
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/http_message.h
@@ -0,0 +1,126 @@
+// HTTP/1.1 messages in pieces, over one connection.
+//
+// message_reader reads a head, then the body piece by piece; message_writer
+// writes the same way. Neither holds a whole body, so that an upload of any size
+// passes in bounded memory. Both refuse what could be read in two ways: both
+// length headers, repeated lengths, folded lines, and answers whose end is only
+// the end of the connection (a cut answer would look whole).
+//
+//     request_reader reader(stream, buffer);
+//     reason why;
+//     if (!reader.read_head(limits, why)) ...
+//     std::string piece;
+//     while (reader.read_body(piece, max_piece_bytes, deadline, why) == body_state::more) ...
+//
+// All calls suspend the calling fiber.
+#pragma once
+
+#include "pomelohead/runtime/reason.h"
+#include "pomelohead/runtime/timer_service.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pomelohead::forwarding {
+
+namespace http = boost::beast::http;
+
+/// The most bytes that one read of a body hands on.
+inline constexpr std::size_t max_piece_bytes = 64UL * 1024UL;
+
+/// Bounds on the head of a message.
+struct head_limits {
+    std::size_t m_max_bytes = 16UL * 1024UL;
+    time_point m_first_byte = time_point::max(); ///< for the first byte to arrive
+    duration m_rest = std::chrono::seconds(10);  ///< for the rest of the head after it
+};
+
+/// How a message's end is marked.
+enum class body_framing { none, length, chunked };
+
+/// What read_body() found.
+enum class body_state { more, end, failed };
+
+/// Reads one message.
+template <bool IsRequest>
+class message_reader {
+public:
+    /// Both must outlive the reader; `buffer` keeps bytes of the next message.
+    message_reader(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer);
+
+    /// Reads the head. Fails with timed_out, too_large, malformed, or interrupted;
+    /// with cancelled where the other side closed before the first byte.
+    bool read_head(const head_limits& limits, reason& why);
+
+    /// Says that the answer to a HEAD request has no body, whatever its head says.
+    void expect_no_body();
+
+    [[nodiscard]] const http::header<IsRequest>& head() const { return m_parser->get().base(); }
+    [[nodiscard]] body_framing framing() const;
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const;
+    [[nodiscard]] bool keep_alive() const { return m_parser->keep_alive(); }
+    [[nodiscard]] bool done() const { return m_parser->is_done(); }
+
+    /// Reads the next piece of the body, at most `max_bytes`, into `piece`. Fails
+    /// with interrupted where the connection ends before the body does.
+    body_state read_body(std::string& piece, std::size_t max_bytes, time_point deadline,
+                         reason& why);
+
+private:
+    bool fill_head(const head_limits& limits, std::size_t& head_bytes, reason& why);
+    bool check_framing(std::string_view head, reason& why) const;
+
+    boost::beast::tcp_stream& m_stream;
+    boost::beast::flat_buffer& m_buffer;
+    std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
+};
+
+using request_reader = message_reader<true>;
+using response_reader = message_reader<false>;
+
+extern template class message_reader<true>;
+extern template class message_reader<false>;
+
+/// Writes one message.
+class message_writer {
+public:
+    explicit message_writer(boost::beast::tcp_stream& stream) : m_stream(stream) {}
+
+    /// Writes a head followed by the first bytes of the body.
+    template <bool IsRequest>
+    bool write_head(const http::header<IsRequest>& head, body_framing framing,
+                    std::string_view first_piece, time_point deadline, reason& why);
+
+    /// Writes the next bytes of the body.
+    bool write_body(std::string_view piece, time_point deadline, reason& why);
+
+    /// Marks the end of the body.
+    bool finish(time_point deadline, reason& why);
+
+    /// Whether any byte was given to the connection.
+    [[nodiscard]] bool started() const { return m_started; }
+
+private:
+    bool write(std::string_view first, std::string_view second, time_point deadline, reason& why);
+
+    boost::beast::tcp_stream& m_stream;
+    body_framing m_framing = body_framing::none;
+    bool m_started = false;
+};
+
+/// Removes the fields that concern one connection only (RFC 9110, section 7.6.1),
+/// the body's framing, and our own headers where `remove_own` says so.
+void remove_hop_fields(http::fields& fields, bool remove_own);
+
+/// The prefix of the headers that nodes add.
+inline constexpr std::string_view own_header_prefix = "Pomelohead-";
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/http_server.h
@@ -0,0 +1,141 @@
+// A listener whose connections each serve one exchange at a time.
+//
+//     http_server server(io, {"127.0.1.1", 7400}, server_options{},
+//                        [&](server_exchange& e) { handle(e); });
+//     reason why;
+//     if (!server.start(why)) ...
+//     ...
+//     server.announce_close();   // answers carry Connection: close
+//     server.close_listener();   // no new connections; idle ones end
+//     server.wait();             // until the last exchange is over
+#pragma once
+
+#include "pomelohead/forwarding/http_message.h"
+#include "pomelohead/runtime/fiber.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace pomelohead::forwarding {
+
+/// Where a server listens or a connection goes.
+struct endpoint {
+    std::string m_address;
+    std::uint16_t m_port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+};
+
+/// The endpoint for Asio. The address must be an IP address.
+[[nodiscard]] boost::asio::ip::tcp::endpoint to_asio(const endpoint& where);
+
+/// Limits of a server.
+struct server_options {
+    std::size_t m_max_connections = 4096;
+    duration m_idle_limit = std::chrono::seconds(75); ///< between exchanges on one connection
+    head_limits m_head;
+};
+
+class http_server;
+
+/// One request on a connection, with the means to answer it.
+class server_exchange {
+public:
+    server_exchange(boost::beast::tcp_stream& stream, request_reader& request,
+                    const http_server& server)
+        : m_stream(stream), m_request(request), m_server(server)
+    {
+    }
+
+    [[nodiscard]] request_reader& request() { return m_request; }
+    [[nodiscard]] boost::beast::tcp_stream& stream() { return m_stream; }
+
+    /// Answers with a whole body. Fields that mark the connection and the length are added.
+    bool respond(http::header<false> head, std::string_view body, time_point deadline, reason& why);
+
+    /// Begins an answer whose body follows in pieces; `length` is its size, if known.
+    bool begin(http::header<false> head, std::optional<std::uint64_t> length,
+               std::string_view first_piece, time_point deadline, reason& why);
+    bool write(std::string_view piece, time_point deadline, reason& why);
+    bool finish(time_point deadline, reason& why);
+
+    /// Sends the interim answer that asks for the body, where the request wants one.
+    bool send_continue(time_point deadline, reason& why);
+
+    /// Makes the connection end after this exchange, its answer whole or not.
+    void close_after() { m_close = true; }
+
+    [[nodiscard]] bool answered() const { return m_writer && m_writer->started(); }
+    [[nodiscard]] bool must_close() const;
+
+private:
+    void add_connection_field(http::header<false>& head);
+
+    boost::beast::tcp_stream& m_stream;
+    request_reader& m_request;
+    const http_server& m_server;
+    std::optional<message_writer> m_writer;
+    bool m_close = false;
+};
+
+/// Accepts connections and calls the handler for each request.
+class http_server {
+public:
+    using handler = std::function<void(server_exchange&)>;
+
+    /// `io` must outlive the server. The handler runs in the connection's fiber
+    /// and must answer or close_after().
+    http_server(boost::asio::io_context& io, endpoint where, server_options options,
+                handler on_request);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+    /// Binds and begins to accept. Fails where the address cannot be bound.
+    bool start(reason& why);
+
+    /// From now on answers carry Connection: close.
+    void announce_close() { m_closing = true; }
+    [[nodiscard]] bool closing() const { return m_closing; }
+
+    /// Accepts no more connections and ends those between exchanges. Idempotent.
+    void close_listener();
+
+    /// Waits until no connection is left. close_listener() must have been called.
+    void wait() { m_fibers.wait(); }
+
+    /// Ends all connections at once, exchanges included.
+    void abort();
+
+    [[nodiscard]] std::size_t connections() const { return m_open.size(); }
+
+private:
+    struct connection {
+        explicit connection(boost::asio::ip::tcp::socket socket) : m_stream(std::move(socket)) {}
+
+        boost::beast::tcp_stream m_stream;
+        boost::beast::flat_buffer m_buffer;
+        bool m_idle = true;
+    };
+    using connection_list = std::list<connection>;
+
+    void accept_loop();
+    void serve(connection_list::iterator at);
+    bool serve_one(connection& c);
+    void refuse(connection& c, const reason& why);
+
+    boost::asio::io_context& m_io;
+    endpoint m_where;
+    server_options m_options;
+    handler m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    connection_list m_open;
+    bool m_closing = false;
+    bool m_listener_closed = false;
+    fiber_group m_fibers;
+};
+
+} // namespace pomelohead::forwarding
