Admission and routing: interfaces and first decision classes

Cause: the forwarding slice needs the owner's and the entry's decisions as values and pure classes, without sockets or clocks.

Ruled out: a heap for the owner's queue (the order between two requests changes with their accounts' use; the queue is bounded, a scan is enough); load reports for marking slow targets (they lag and mislead).

Every mechanism has a switch.

--- /dev/null
+++ b/pomelohead/admission/account_use.cc
@@ -0,0 +1,68 @@
+// Exponential decay without touching every account: new use is scaled up by
+// e^(t / window) instead of scaling all older use down, and the scale is folded
+// back before it grows large.
+#include "pomelohead/admission/account_use.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelohead::admission {
+namespace {
+
+constexpr double max_scale = 1e6;
+constexpr double negligible_s = 1e-7;
+constexpr double max_floor_sum = 0.5;
+
+std::size_t index(config::work_class work)
+{
+    return work == config::work_class::short_work ? 0 : 1;
+}
+
+} // namespace
+
+void account_use::rescale(time_point now)
+{
+    const std::chrono::duration<double> age = now - m_epoch;
+    const std::chrono::duration<double> window = m_window;
+    m_scale = std::exp(std::min(age.count() / window.count(), std::log(max_scale) * 2));
+    if (m_scale < max_scale) {
+        return;
+    }
+    for (class_use& work : m_classes) {
+        work.m_total_s = 0;
+        for (auto it = work.m_use_s.begin(); it != work.m_use_s.end();) {
+            it->second /= m_scale;
+            work.m_total_s += it->second;
+            it = it->second < negligible_s ? work.m_use_s.erase(it) : std::next(it);
+        }
+    }
+    m_epoch = now;
+    m_scale = 1;
+}
+
+void account_use::add(const std::string& account, config::work_class work, duration run_time,
+                      time_point now)
+{
+    rescale(now);
+    const double scaled_s = std::chrono::duration<double>(run_time).count() * m_scale;
+    class_use& uses = m_classes.at(index(work));
+    uses.m_use_s[account] += scaled_s;
+    uses.m_total_s += scaled_s;
+}
+
+double account_use::of(const std::string& account, config::work_class work) const
+{
+    const class_use& uses = m_classes.at(index(work));
+    const auto it = uses.m_use_s.find(account);
+    return it == uses.m_use_s.end() ? 0 : it->second;
+}
+
+bool account_use::is_below_floor(const std::string& account, config::work_class work,
+                                 double floor) const
+{
+    const class_use& uses = m_classes.at(index(work));
+    const double accounts = static_cast<double>(std::max<std::size_t>(1, uses.m_use_s.size()));
+    return of(account, work) < uses.m_total_s * std::min(floor, max_floor_sum / accounts);
+}
+
+} // namespace pomelohead::admission
--- /dev/null
+++ b/pomelohead/admission/slot_queue.cc
@@ -0,0 +1,393 @@
+// The queue is one small vector that is searched whenever a slot becomes free: it
+// is bounded by a few requests per slot, and the order between two of them changes
+// with their accounts' use, which a heap would not notice.
+#include "pomelohead/admission/slot_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelohead::admission {
+namespace {
+
+constexpr milliseconds min_retry_after{100};
+constexpr milliseconds max_retry_after{10'000};
+constexpr milliseconds ramp_step{50};
+
+using config::work_class;
+
+// Spreads the return of callers that were refused at the same time: 1.0 to 2.0.
+double spread(std::uint64_t id)
+{
+    constexpr std::uint64_t golden_ratio = 0x9e3779b97f4a7c15;
+    constexpr std::uint64_t steps = 1024;
+    return 1.0 + static_cast<double>((id * golden_ratio >> 32) % steps) / steps;
+}
+
+std::string in_ms(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(value).count()) + " ms";
+}
+
+} // namespace
+
+slot_queue::slot_queue(admission_options options, std::uint32_t slots)
+    : m_options(options), m_slots(slots), m_use(options.m_share_window), m_long_limit(options)
+{
+    m_limit = m_slots;
+    if (m_options.m_slow_start) {
+        m_limit = std::clamp<std::uint32_t>(
+            static_cast<std::uint32_t>(std::ceil(slots * m_options.m_slow_start_share)), 1,
+            std::max(1U, slots));
+    }
+}
+
+std::uint32_t slot_queue::running() const
+{
+    return static_cast<std::uint32_t>(m_running.size());
+}
+
+std::uint32_t slot_queue::count_queued(work_class work) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        m_queue, [work](const queued_request& entry) { return entry.m_facts.m_class == work; }));
+}
+
+std::uint32_t slot_queue::queue_limit(work_class work) const
+{
+    return m_slots * (work == work_class::short_work ? m_options.m_queue_per_slot
+                                                     : m_options.m_long_queue_per_slot);
+}
+
+void slot_queue::advance(time_point now)
+{
+    m_now = std::max(m_now, now);
+    if (!m_first_offer) {
+        m_first_offer = now;
+    }
+    if (m_limit < m_slots) {
+        const std::chrono::duration<double> age = m_now - *m_first_offer;
+        const std::chrono::duration<double> ramp = m_options.m_slow_start_time;
+        const double share = m_options.m_slow_start_share +
+                             (1 - m_options.m_slow_start_share) * age.count() / ramp.count();
+        const double slots = m_options.m_slow_start ? m_slots * std::min(1.0, share) : m_slots;
+        m_limit = std::max(m_limit, static_cast<std::uint32_t>(slots));
+    }
+    const std::uint32_t running_short = running() - m_running_long;
+    m_long_limit.observe(running_short + count_queued(work_class::short_work), m_running_long,
+                         m_now);
+}
+
+bool slot_queue::may_start(work_class work) const
+{
+    if (running() >= m_limit) {
+        return false;
+    }
+    if (work == work_class::short_work || !m_options.m_short_reserve) {
+        return true;
+    }
+    return m_long_limit.allows(m_running_long, m_limit);
+}
+
+duration slot_queue::needed(const request_facts& facts) const
+{
+    if (!m_options.m_deadline_admission) {
+        return duration::zero();
+    }
+    const duration expected = facts.m_expected > duration::zero()
+                                  ? facts.m_expected
+                                  : m_run_times.typical(facts.m_class, facts.m_route);
+    return std::chrono::duration_cast<duration>(expected * m_options.m_needed_share);
+}
+
+time_point slot_queue::give_up_time(const request_facts& facts, time_point now) const
+{
+    const time_point last_start = facts.m_deadline - needed(facts);
+    if (!m_options.m_bounded_wait || facts.m_class == work_class::long_work) {
+        return last_start;
+    }
+    return std::min(last_start, now + m_options.m_max_wait);
+}
+
+bool slot_queue::precedes(const queued_request& a, const queued_request& b) const
+{
+    const request_facts& x = a.m_facts;
+    const request_facts& y = b.m_facts;
+    if (m_options.m_fair_share) {
+        const bool x_below =
+            m_use.is_below_floor(x.m_account, x.m_class, m_options.m_account_floor);
+        const bool y_below =
+            m_use.is_below_floor(y.m_account, y.m_class, m_options.m_account_floor);
+        if (x_below != y_below) {
+            return x_below;
+        }
+    }
+    if (m_options.m_urgency_order && x.m_urgency != y.m_urgency) {
+        return x.m_urgency < y.m_urgency;
+    }
+    if (m_options.m_depth_order && x.m_depth != y.m_depth) {
+        return x.m_depth > y.m_depth;
+    }
+    if (m_options.m_fair_share && x.m_account != y.m_account) {
+        const double x_use = m_use.of(x.m_account, x.m_class);
+        const double y_use = m_use.of(y.m_account, y.m_class);
+        if (x_use != y_use) {
+            return x_use < y_use;
+        }
+    }
+    if (m_options.m_deadline_order && x.m_deadline != y.m_deadline) {
+        return x.m_deadline < y.m_deadline;
+    }
+    return a.m_sequence < b.m_sequence;
+}
+
+std::vector<slot_queue::queued_request>::iterator slot_queue::next_to_start(time_point now)
+{
+    const bool long_first = m_options.m_short_reserve && m_long_limit.is_below_floor();
+    auto best = m_queue.end();
+    for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
+        if (it->m_give_up < now || !may_start(it->m_facts.m_class)) {
+            continue;
+        }
+        if (best == m_queue.end()) {
+            best = it;
+            continue;
+        }
+        const bool is_long = it->m_facts.m_class == work_class::long_work;
+        const bool best_is_long = best->m_facts.m_class == work_class::long_work;
+        if (m_options.m_short_reserve && is_long != best_is_long) {
+            best = is_long == long_first ? it : best;
+        }
+        else if (precedes(*it, *best)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+void slot_queue::start(const request_facts& facts, time_point now)
+{
+    m_running[facts.m_id] = {facts.m_class, facts.m_account, facts.m_route, now};
+    if (facts.m_class == work_class::long_work) {
+        ++m_running_long;
+    }
+    const duration expected = m_run_times.typical(facts.m_class, facts.m_route);
+    m_use.add(facts.m_account, facts.m_class, std::max<duration>(expected, milliseconds(1)), now);
+    advance(now);
+}
+
+std::vector<std::uint64_t> slot_queue::start_waiting(time_point now)
+{
+    std::vector<std::uint64_t> started;
+    while (running() < m_limit) {
+        const auto next = next_to_start(now);
+        if (next == m_queue.end()) {
+            break;
+        }
+        const request_facts facts = next->m_facts;
+        m_queue.erase(next);
+        start(facts, now);
+        started.push_back(facts.m_id);
+    }
+    return started;
+}
+
+bool slot_queue::is_shed(const request_facts& facts) const
+{
+    const std::uint32_t load = running() + queued();
+    return std::ranges::any_of(m_rules, [&](const config::shed_rule& rule) {
+        return (rule.m_account == "*" || rule.m_account == facts.m_account) &&
+               rule.m_class == facts.m_class && facts.m_urgency >= rule.m_from_urgency &&
+               std::uint64_t{load} * 100 >= std::uint64_t{rule.m_load_percent} * m_limit;
+    });
+}
+
+duration slot_queue::predicted_wait(const queued_request& entry) const
+{
+    const work_class work = entry.m_facts.m_class;
+    const auto ahead = std::ranges::count_if(m_queue, [&](const queued_request& other) {
+        return other.m_facts.m_class == work && precedes(other, entry);
+    });
+    const std::uint32_t others =
+        work == work_class::short_work ? m_running_long : running() - m_running_long;
+    const std::uint32_t slots = m_limit > others ? m_limit - others : 1;
+    return m_run_times.mean(work) * (ahead + 1) / slots;
+}
+
+// Displaces the last of the queued requests of the same class where the new one precedes it.
+bool slot_queue::make_room(const queued_request& entry)
+{
+    const work_class work = entry.m_facts.m_class;
+    if (count_queued(work) < queue_limit(work)) {
+        return true;
+    }
+    auto last = m_queue.end();
+    for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
+        if (it->m_facts.m_class == work && (last == m_queue.end() || precedes(*last, *it))) {
+            last = it;
+        }
+    }
+    if (last == m_queue.end() || !precedes(entry, *last)) {
+        return false;
+    }
+    m_displaced.push_back(last->m_facts.m_id);
+    m_queue.erase(last);
+    return true;
+}
+
+decision slot_queue::refuse(const request_facts& facts, reason why) const
+{
+    return {verdict::refused, std::move(why), retry_after(facts.m_id)};
+}
+
+decision slot_queue::enqueue(const request_facts& facts, time_point now)
+{
+    const queued_request entry{facts, m_next_sequence++, give_up_time(facts, now)};
+    const duration wait = predicted_wait(entry);
+    if (m_options.m_deadline_admission && now + wait > facts.m_deadline - needed(facts)) {
+        return refuse(facts, {reason_code::timed_out, "a slot is expected in " + in_ms(wait) +
+                                                          ", too late for the deadline"});
+    }
+    if (now + wait > entry.m_give_up) {
+        return refuse(facts, {reason_code::refused, "busy: a slot is expected in " + in_ms(wait) +
+                                                        ", the longest wait is " +
+                                                        in_ms(m_options.m_max_wait)});
+    }
+    if (!make_room(entry)) {
+        return refuse(facts, {reason_code::refused,
+                              "busy: the queue is full with " + std::to_string(queued())});
+    }
+    m_queue.push_back(entry);
+    return {verdict::queued, {}, {}};
+}
+
+decision slot_queue::offer(const request_facts& facts, time_point now)
+{
+    advance(now);
+    const bool is_held = m_running.contains(facts.m_id) ||
+                         std::ranges::any_of(m_queue, [&](const queued_request& entry) {
+                             return entry.m_facts.m_id == facts.m_id;
+                         });
+    if (is_held) {
+        return refuse(facts, {reason_code::conflict, "a request with this id is already held"});
+    }
+    if (is_shed(facts)) {
+        return refuse(facts, {reason_code::refused, "shed by the operator's rule under load"});
+    }
+    if (now + needed(facts) > facts.m_deadline || now >= facts.m_deadline) {
+        return refuse(facts, {reason_code::timed_out,
+                              "typically needs " + in_ms(needed(facts)) + ", has " +
+                                  in_ms(std::max(duration::zero(), facts.m_deadline - now))});
+    }
+    const bool is_first = std::ranges::none_of(m_queue, [&](const queued_request& entry) {
+        return entry.m_give_up >= now &&
+               (!m_options.m_short_reserve || entry.m_facts.m_class == facts.m_class);
+    });
+    if (is_first && may_start(facts.m_class)) {
+        start(facts, now);
+        return {verdict::start, {}, {}};
+    }
+    return enqueue(facts, now);
+}
+
+std::vector<std::uint64_t> slot_queue::finish(std::uint64_t id, time_point now, run_end how)
+{
+    const auto it = m_running.find(id);
+    if (it == m_running.end()) {
+        return {};
+    }
+    const running_request& done = it->second;
+    if (how == run_end::complete) {
+        m_run_times.add(done.m_class, done.m_route, now - done.m_started);
+    }
+    if (done.m_class == work_class::long_work) {
+        --m_running_long;
+    }
+    m_running.erase(it);
+    advance(now);
+    return start_waiting(now);
+}
+
+std::vector<std::uint64_t> slot_queue::expire(time_point now)
+{
+    advance(now);
+    std::vector<std::uint64_t> expired = std::exchange(m_displaced, {});
+    const auto is_late = [&](const queued_request& entry) { return entry.m_give_up < now; };
+    for (const queued_request& entry : m_queue) {
+        if (is_late(entry)) {
+            expired.push_back(entry.m_facts.m_id);
+        }
+    }
+    std::erase_if(m_queue, is_late);
+    return expired;
+}
+
+std::vector<std::uint64_t> slot_queue::due_starts(time_point now)
+{
+    advance(now);
+    return start_waiting(now);
+}
+
+bool slot_queue::withdraw(std::uint64_t id)
+{
+    const auto is_it = [id](const queued_request& entry) { return entry.m_facts.m_id == id; };
+    return std::erase_if(m_queue, is_it) + std::erase(m_displaced, id) > 0;
+}
+
+std::optional<time_point> slot_queue::next_deadline() const
+{
+    if (!m_displaced.empty()) {
+        return m_now;
+    }
+    if (m_queue.empty()) {
+        return std::nullopt;
+    }
+    time_point first = time_point::max();
+    for (const queued_request& entry : m_queue) {
+        first = std::min(first, entry.m_give_up + std::chrono::nanoseconds(1));
+    }
+    if (running() < m_slots) {
+        first = std::min(first, m_now + ramp_step);
+    }
+    return first;
+}
+
+load_word slot_queue::word() const
+{
+    load_word word;
+    word.m_free = m_limit > running() ? m_limit - running() : 0;
+    word.m_queued = count_queued(work_class::short_work);
+    word.m_long_queued = count_queued(work_class::long_work);
+    word.m_long_free = word.m_free;
+    if (m_options.m_short_reserve) {
+        const double average = m_long_limit.average_limit(m_limit);
+        const std::uint32_t limit = static_cast<std::uint32_t>(std::ceil(average));
+        const std::uint32_t room = limit > m_running_long ? limit - m_running_long : 0;
+        word.m_long_free = std::min(word.m_free, room);
+    }
+    return word;
+}
+
+void slot_queue::set_rules(std::vector<config::shed_rule> rules)
+{
+    m_rules = std::move(rules);
+}
+
+std::vector<std::uint64_t> slot_queue::set_limit(std::uint32_t slots, time_point now)
+{
+    m_slots = slots;
+    if (!m_options.m_slow_start || m_limit > slots) {
+        m_limit = slots;
+    }
+    advance(now);
+    return start_waiting(now);
+}
+
+milliseconds slot_queue::retry_after(std::uint64_t id) const
+{
+    const duration mean = m_run_times.mean(work_class::short_work);
+    const duration backlog = mean * (queued() + 1) / std::max(1U, m_limit);
+    const auto wait = std::chrono::duration_cast<milliseconds>(backlog * spread(id));
+    return std::clamp(wait, min_retry_after, max_retry_after);
+}
+
+} // namespace pomelohead::admission
--- /dev/null
+++ b/pomelohead/routing/owner_selector.h
@@ -0,0 +1,104 @@
+// Which target of a service an entry sends a call to.
+//
+// Left out are targets that the caller excludes, that drain (by configuration or
+// by their owner's word) and that are unreachable. Of the rest a few candidates are
+// drawn, slow ones seldom, and the one with the smallest expected wait plus network
+// cost is chosen: the own failure domain first, others where its queue costs more
+// than the way to them. All randomness comes from the generator passed in.
+//
+//     owner_selector selector(options, "dolgellau", "gwynedd");
+//     reason why;
+//     std::optional<config::target> target =
+//         selector.choose(*snapshot, *service, call, tried, reachable, now, random, why);
+//     selector.started(target->m_name, call.m_class, now);
+//     ...
+//     selector.heard(target->m_name, word);
+//     selector.finished(target->m_name, call.m_class, attempt_result::answered, latency, now);
+#pragma once
+
+#include "pomelohead/routing/target_view.h"
+#include "pomelohead/runtime/reason.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace pomelohead::routing {
+
+/// One line of an explanation of a choice.
+struct target_explanation {
+    std::string m_target;
+    std::string m_host;
+    std::string m_failure_domain;
+    bool m_eligible = false;
+    bool m_draining = false;
+    bool m_slow = false;
+    double m_share = 0;            ///< of its usual work, 0 to 1
+    double m_free = 0;             ///< estimated free slots; negative: queued requests
+    std::uint32_t m_queued = 0;    ///< by the owner's latest word
+    double m_expected_wait_ms = 0; ///< with network cost
+    std::string m_why;             ///< why it is left out or preferred less
+
+    bool operator==(const target_explanation&) const = default;
+};
+
+/// Chooses owners for one entry.
+class owner_selector {
+public:
+    owner_selector(routing_options options, std::string own_failure_domain, std::string own_region);
+
+    /// The region of each failure domain; domains not named count as the own region.
+    void set_regions(std::map<std::string, std::string> region_by_domain);
+
+    /// Chooses a target, or nothing with the reason why there is none.
+    [[nodiscard]] std::optional<config::target>
+    choose(const config::snapshot& config, const config::service& service, const call_facts& call,
+           const std::vector<std::string>& excluded_targets, const reachable_fn& reachable,
+           time_point now, std::mt19937_64& random, reason& why);
+
+    void started(const std::string& target, config::work_class work, time_point now);
+    void finished(const std::string& target, config::work_class work, attempt_result result,
+                  duration latency, time_point now);
+    void heard(const std::string& target, const owner_word& word);
+
+    /// Forgets targets that `config` does not have.
+    void retain(const config::snapshot& config);
+
+    /// What choose() would see now, one line per target of the service.
+    [[nodiscard]] std::vector<target_explanation>
+    explain(const config::snapshot& config, const config::service& service, const call_facts& call,
+            const reachable_fn& reachable, time_point now);
+
+private:
+    struct candidate {
+        const config::target* m_target = nullptr;
+        target_view* m_view = nullptr;
+        double m_share = 1;
+        bool m_local = false;
+    };
+
+    [[nodiscard]] std::string why_left_out(const config::snapshot& config,
+                                           const config::target& target,
+                                           const std::vector<std::string>& excluded,
+                                           const reachable_fn& reachable) const;
+    [[nodiscard]] duration typical_latency(const config::service& service) const;
+    [[nodiscard]] double usual_headroom(const config::service& service, config::work_class work,
+                                        time_point now) const;
+    [[nodiscard]] duration network_cost(const config::target& target) const;
+    [[nodiscard]] duration expected_cost(const candidate& item, config::work_class work,
+                                         duration typical, double usual, time_point now) const;
+    [[nodiscard]] const candidate& round_robin(const config::service& service,
+                                               const std::vector<candidate>& eligible);
+    static void draw(std::vector<candidate>& from, std::size_t count, std::mt19937_64& random,
+                     std::vector<candidate>& drawn);
+
+    routing_options m_options;
+    std::string m_own_domain;
+    std::string m_own_region;
+    std::map<std::string, std::string> m_region_by_domain;
+    std::unordered_map<std::string, target_view> m_views;
+    std::unordered_map<std::string, std::uint64_t> m_round_robin; // by service
+};
+
+} // namespace pomelohead::routing
