--- /dev/null
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -0,0 +1,247 @@
+#include "pomelohead/forwarding/entry_attempt.h"
+
+#include "pomelohead/forwarding/headers.h"
+
+namespace pomelohead::forwarding {
+namespace {
+
+using outcome::cause;
+using outcome::entry_event_kind;
+
+// Answers up to this size are taken whole before a byte of them goes to the
+// caller, so that a lost one can still become another attempt or a clear refusal.
+constexpr std::size_t whole_answer_bytes = 64UL * 1024UL;
+
+// An owner refuses by itself at the deadline; its word takes a little time to arrive.
+constexpr duration owner_word_grace = std::chrono::milliseconds(100);
+
+} // namespace
+
+entry_attempt::entry_attempt(entry_service& service, attempt_request& request, std::size_t index,
+                             config::target target)
+    : m_service(service), m_request(request), m_index(index), m_target(std::move(target)),
+      m_address(request.m_ticket_owner.empty() ? m_target.m_host : request.m_ticket_owner),
+      m_started(clock_type::now())
+{
+    m_service.m_selector.started(m_target.m_name, m_request.m_class, m_started);
+}
+
+void entry_attempt::tell(entry_event_kind kind, cause why)
+{
+    m_request.m_feed({.m_kind = kind, .m_attempt = m_index, .m_cause = why});
+}
+
+void entry_attempt::tell_lost(const reason& why, cause cause)
+{
+    end(routing::attempt_result::failed);
+    const bool late = why.m_code == reason_code::timed_out;
+    tell(entry_event_kind::connection_lost, late ? outcome::cause::deadline : cause);
+}
+
+void entry_attempt::run()
+{
+    reason why;
+    m_connection = m_service.pool(m_address).take(m_request.m_deadline, why);
+    if (m_abandoned) {
+        return end(routing::attempt_result::cancelled);
+    }
+    if (!m_connection) {
+        end(routing::attempt_result::failed);
+        return tell(entry_event_kind::connect_failed);
+    }
+    tell(entry_event_kind::write_begins);
+    if (write_request() && read_head()) {
+        take_answer();
+    }
+}
+
+bool entry_attempt::write_request()
+{
+    http::header<true> head = m_request.m_head;
+    head.set(target_header, m_target.m_name);
+    head.set(attempt_header, std::to_string(m_index));
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_request.m_deadline - clock_type::now());
+    head.set(deadline_header,
+             std::to_string(std::max<std::int64_t>(outcome::forwarded_deadline(left).count(), 1)));
+    if (m_request.m_is_suspect()) {
+        head.set(apart_header, "true");
+    }
+    body_framing framing = m_request.m_exchange.request().framing();
+    if (m_request.m_streamed) {
+        head.set(http::field::expect, "100-continue");
+    }
+    else if (framing == body_framing::chunked) {
+        framing = body_framing::length;
+        head.set(http::field::content_length, std::to_string(m_request.m_body.bytes().size()));
+    }
+    message_writer writer(m_connection->m_stream);
+    reason why;
+    const std::string_view body =
+        m_request.m_streamed ? std::string_view{} : std::string_view(m_request.m_body.bytes());
+    if (!writer.write_head(head, framing, body, m_request.m_deadline, why)) {
+        tell_lost(why, cause::connection_lost);
+        return false;
+    }
+    m_reader.emplace(m_connection->m_stream, m_connection->m_buffer);
+    if (!m_request.m_streamed) {
+        return true;
+    }
+    if (!read_head()) {
+        return false;
+    }
+    // Anything but "go on" is the answer already, and the body stays with the caller.
+    return m_reader->head().result_int() != 100 || stream_body(writer);
+}
+
+bool entry_attempt::stream_body(message_writer& writer)
+{
+    reason why;
+    std::string piece = m_request.m_body.bytes();
+    body_state state = body_state::more;
+    m_request.m_feed({.m_kind = entry_event_kind::body_dropped});
+    m_request.m_body.release();
+    while (true) {
+        if (!writer.write_body(piece, m_request.m_deadline, why)) {
+            return !m_abandoned; // the owner may have answered early
+        }
+        if (state == body_state::end) {
+            return writer.finish(m_request.m_deadline, why) || !m_abandoned;
+        }
+        state = m_request.m_exchange.request().read_body(piece, max_piece_bytes,
+                                                         m_request.m_deadline, why);
+        if (state == body_state::failed) {
+            end(routing::attempt_result::cancelled);
+            m_connection->m_stream.close();
+            m_request.m_feed({.m_kind = why.m_code == reason_code::timed_out
+                                            ? entry_event_kind::deadline
+                                            : entry_event_kind::caller_left});
+            return false;
+        }
+    }
+}
+
+bool entry_attempt::read_head()
+{
+    reason why;
+    if (m_reader->head_read() && m_reader->head().result_int() != 100) {
+        return true;
+    }
+    const head_limits limits{.m_first_byte = m_request.m_deadline + owner_word_grace};
+    if (!m_reader->read_head(limits, why)) {
+        tell_lost(why, cause::connection_lost);
+        return false;
+    }
+    if (m_request.m_head.method() == http::verb::head) {
+        m_reader->expect_no_body();
+    }
+    return true;
+}
+
+void entry_attempt::take_answer()
+{
+    const http::header<false>& head = m_reader->head();
+    if (const auto word = parse_word(head[word_header], clock_type::now())) {
+        m_service.m_selector.heard(m_target.m_name, *word);
+    }
+    const auto said = outcome::parse_outcome(head[outcome_header]);
+    const auto why_said = outcome::parse_cause(head[reason_header]).value_or(cause::none);
+    reason why;
+    m_state = m_reader->done() ? body_state::end : body_state::more;
+    std::string piece;
+    while (m_state == body_state::more && m_first_bytes.size() < whole_answer_bytes) {
+        m_state = m_reader->read_body(piece, max_piece_bytes, m_request.m_deadline, why);
+        m_first_bytes += piece;
+    }
+    if (m_state == body_state::failed || !said) {
+        tell_lost(why, cause::short_answer);
+        return;
+    }
+    m_latency = clock_type::now() - m_started;
+    switch (*said) {
+    case outcome::outcome::complete:
+        tell(entry_event_kind::owner_complete);
+        return;
+    case outcome::outcome::not_run:
+        finish(true);
+        tell(entry_event_kind::owner_not_run, why_said);
+        return;
+    case outcome::outcome::unknown:
+        end(routing::attempt_result::failed);
+        tell(entry_event_kind::owner_unknown, why_said);
+        return;
+    }
+}
+
+body_state entry_attempt::read_more(std::string& piece, reason& why)
+{
+    m_state = m_reader->read_body(piece, max_piece_bytes, m_request.m_deadline, why);
+    return m_state;
+}
+
+void entry_attempt::finish(bool whole)
+{
+    const bool refused =
+        outcome::parse_outcome(m_reader->head()[outcome_header]) == outcome::outcome::not_run;
+    const bool reusable = whole && m_state == body_state::end && m_reader->keep_alive() &&
+                          !m_abandoned && (!m_request.m_streamed || refused == false) &&
+                          m_request.m_exchange.request().done();
+    if (reusable) {
+        m_service.pool(m_address).give_back(std::move(m_connection));
+    }
+    m_connection.reset();
+    end(refused ? routing::attempt_result::not_run
+        : whole ? routing::attempt_result::answered
+                : routing::attempt_result::failed);
+}
+
+void entry_attempt::abandon()
+{
+    m_abandoned = true;
+    if (m_connection) {
+        m_connection->m_stream.close();
+    }
+    end(routing::attempt_result::cancelled);
+}
+
+void entry_attempt::end(routing::attempt_result result)
+{
+    if (m_ended) {
+        return;
+    }
+    m_ended = true;
+    const time_point now = clock_type::now();
+    m_service.m_selector.finished(m_target.m_name, m_request.m_class, result, now - m_started, now);
+}
+
+std::optional<std::string> fetch_ticket(entry_service& service, const config::target& target,
+                                        time_point deadline)
+{
+    reason why;
+    connection_pool pool(service.m_io, {target.m_host, service.m_options.m_owner_port}, 0);
+    const auto connection = pool.take(deadline, why);
+    if (!connection) {
+        return std::nullopt;
+    }
+    http::header<true> head;
+    head.method(http::verb::post);
+    head.target("/.pomelohead/ticket?target=" + target.m_name);
+    head.set(http::field::content_length, "0");
+    head.set(http::field::connection, "close");
+    message_writer writer(connection->m_stream);
+    response_reader reader(connection->m_stream, connection->m_buffer);
+    if (!writer.write_head(head, body_framing::none, {}, deadline, why) ||
+        !reader.read_head({.m_first_byte = deadline}, why) || reader.head().result_int() != 200) {
+        return std::nullopt;
+    }
+    std::string text;
+    std::string piece;
+    body_state state = reader.done() ? body_state::end : body_state::more;
+    while (state == body_state::more) {
+        state = reader.read_body(piece, max_piece_bytes, deadline, why);
+        text += piece;
+    }
+    return state == body_state::end ? std::optional(text) : std::nullopt;
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -0,0 +1,414 @@
+#include "pomelohead/forwarding/entry_exchange.h"
+
+#include "pomelohead/forwarding/headers.h"
+#include "pomelohead/telemetry/log.h"
+
+namespace pomelohead::forwarding {
+namespace {
+
+using outcome::cause;
+using outcome::entry_action_kind;
+using outcome::entry_event_kind;
+
+constexpr std::uint64_t max_short_body_bytes = 8ULL * 1024 * 1024;
+constexpr std::uint64_t max_long_body_bytes = 64ULL * 1024 * 1024 * 1024;
+constexpr std::size_t max_request_id_bytes = 128;
+constexpr duration answer_limit = std::chrono::seconds(10);
+
+// Beyond the caller's deadline: an owner's own "not run" may still be on its way.
+constexpr duration deadline_grace = std::chrono::milliseconds(20);
+
+bool is_plain_token(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_request_id_bytes &&
+           std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+} // namespace
+
+entry_exchange::entry_exchange(entry_service& service, server_exchange& exchange)
+    : m_service(service), m_exchange(exchange),
+      m_body(service.m_body_budget, service.m_options.m_kept_bytes_per_request),
+      m_request{.m_exchange = exchange,
+                .m_body = m_body,
+                .m_feed = [this](const outcome::entry_event& e) { feed(e); },
+                .m_is_suspect = [this] { return outcome::is_suspect(m_state); }},
+      m_arrived(clock_type::now())
+{
+}
+
+void entry_exchange::run()
+{
+    if (!read_caller_fields() || !find_route() || !read_body()) {
+        return;
+    }
+    build_owner_head();
+    m_state = outcome::make_entry_state({.m_idempotent = m_route->m_idempotent,
+                                         .m_has_ticket = m_ticket.has_value(),
+                                         .m_attempts = m_service.m_options.m_attempts});
+    if (!m_request.m_streamed) {
+        m_watch = std::make_unique<connection_watch>(
+            m_exchange.stream(), [this] { feed({.m_kind = entry_event_kind::caller_left}); });
+    }
+    choose_owner(false);
+    work();
+    m_watch.reset();
+    m_fibers.wait();
+}
+
+bool entry_exchange::read_caller_fields()
+{
+    const http::header<true>& head = m_exchange.request().head();
+    const std::string_view id = head[request_id_header];
+    if (head.count(request_id_header) > 0 && !is_plain_token(id)) {
+        refuse(cause::malformed_request, "bad Pomelohead-Request-Id");
+        return false;
+    }
+    m_request_id = id.empty() ? m_service.make_request_id() : std::string(id);
+    const auto depth = parse_number(head[depth_header], max_depth);
+    if (head.count(depth_header) > 0 && !depth) {
+        refuse(cause::malformed_request, "bad Pomelohead-Depth");
+        return false;
+    }
+    m_call.m_depth = static_cast<std::uint32_t>(depth.value_or(0));
+    if (head.count(ticket_header) > 0) {
+        reason why;
+        m_ticket = outcome::parse_ticket(head[ticket_header], why);
+        if (!m_ticket) {
+            refuse(cause::malformed_ticket, why.m_text);
+            return false;
+        }
+    }
+    return true;
+}
+
+bool entry_exchange::find_route()
+{
+    const http::header<true>& head = m_exchange.request().head();
+    m_config = m_service.m_hooks.m_config();
+    if (!m_config) {
+        refuse(cause::no_owner, "no configuration is in force yet");
+        return false;
+    }
+    m_route = m_config->find_route(head.method_string(), head.target());
+    if (m_route == nullptr) {
+        refuse(cause::no_route);
+        return false;
+    }
+    m_target_set = m_config->find_service(m_route->m_service);
+    m_call.m_class = m_route->m_class;
+    m_call.m_idempotent = m_route->m_idempotent;
+    reason why;
+    const auto left = deadline_of(head, m_route->m_deadline, why);
+    if (!left) {
+        refuse(cause::malformed_request, why.m_text);
+        return false;
+    }
+    m_request.m_deadline = m_arrived + std::min(*left, m_route->m_deadline);
+    m_request.m_class = m_route->m_class;
+    return true;
+}
+
+bool entry_exchange::read_body()
+{
+    request_reader& request = m_exchange.request();
+    const std::uint64_t most = m_route->m_class == config::work_class::long_work
+                                   ? max_long_body_bytes
+                                   : max_short_body_bytes;
+    if (request.content_length().value_or(0) > most) {
+        refuse(cause::body_too_large);
+        return false;
+    }
+    reason why;
+    if (!m_exchange.send_continue(m_request.m_deadline, why) ||
+        !m_body.collect(request, m_request.m_deadline, why)) {
+        m_exchange.close_after();
+        if (why.m_code == reason_code::timed_out) {
+            refuse(cause::deadline, "the body did not arrive in time");
+        }
+        else if (why.m_code == reason_code::malformed) {
+            refuse(cause::malformed_request, why.m_text);
+        }
+        return false;
+    }
+    m_request.m_streamed = !m_body.whole();
+    return true;
+}
+
+void entry_exchange::build_owner_head()
+{
+    http::header<true>& head = m_request.m_head;
+    head = m_exchange.request().head();
+    remove_hop_fields(head, true);
+    head.set(request_id_header, m_request_id);
+    head.set(route_header, m_route->m_name);
+    head.set(account_header, m_route->m_account);
+    head.set(class_header, config::to_string(m_route->m_class));
+    head.set(urgency_header, config::to_string(m_route->m_urgency));
+    head.set(version_header, std::to_string(m_config->m_version));
+    head.set(depth_header, std::to_string(m_call.m_depth));
+    if (m_ticket) {
+        head.set(ticket_header, outcome::to_text(*m_ticket));
+        m_request.m_ticket_owner = m_ticket->m_address;
+    }
+}
+
+time_point entry_exchange::next_wake()
+{
+    const time_point deadline = m_request.m_deadline + deadline_grace;
+    return m_hedge_at ? std::min(*m_hedge_at, deadline) : deadline;
+}
+
+void entry_exchange::work()
+{
+    while (true) {
+        if (!m_todo.empty()) {
+            const outcome::entry_action action = m_todo.front();
+            m_todo.pop_front();
+            do_waiting(action);
+            continue;
+        }
+        if (m_state.m_finished) {
+            return;
+        }
+        m_changed.reset();
+        const time_point wake = next_wake();
+        if (m_changed.wait_for(std::max<duration>(wake - clock_type::now(), {}))) {
+            continue;
+        }
+        if (m_hedge_at && wake == *m_hedge_at) {
+            m_hedge_at.reset();
+            choose_owner(true);
+        }
+        else {
+            feed({.m_kind = entry_event_kind::deadline});
+        }
+    }
+}
+
+void entry_exchange::feed(const outcome::entry_event& event)
+{
+    outcome::entry_step next = outcome::step(m_state, event);
+    m_state = std::move(next.m_state);
+    for (const outcome::entry_action& action : next.m_actions) {
+        do_at_once(action);
+    }
+    m_changed.set();
+}
+
+void entry_exchange::do_at_once(const outcome::entry_action& action)
+{
+    if (action.m_kind == entry_action_kind::abandon) {
+        m_attempts[action.m_attempt]->abandon();
+    }
+    else {
+        m_todo.push_back(action);
+    }
+}
+
+void entry_exchange::do_waiting(const outcome::entry_action& action)
+{
+    switch (action.m_kind) {
+    case entry_action_kind::choose_owner:
+        choose_owner(false);
+        return;
+    case entry_action_kind::forward_answer:
+        forward_answer(action.m_attempt);
+        return;
+    case entry_action_kind::answer:
+        answer(action.m_end);
+        return;
+    case entry_action_kind::cut_caller:
+        m_exchange.close_after();
+        m_exchange.stream().close();
+        record({outcome::outcome::unknown, m_state.m_last_cause}, 0);
+        return;
+    case entry_action_kind::abandon:
+        return;
+    }
+}
+
+bool entry_exchange::take_retry()
+{
+    const time_point now = m_service.m_timers.now();
+    const outcome::attempt_phase last = m_state.m_attempts.back();
+    const bool never_ran =
+        last == outcome::attempt_phase::not_run || last == outcome::attempt_phase::not_sent;
+    routing::retry_budget& budget = never_ran ? m_service.m_resends : m_service.m_retries;
+    const bool granted =
+        !m_service.m_options.m_routing.m_retry_budget || budget.take(now, m_call.m_depth);
+    m_service.m_stats.add(granted ? "retries_total" : "retries_refused_total",
+                          {{"after", never_ran ? "not-run" : "unknown"}});
+    return granted;
+}
+
+void entry_exchange::choose_owner(bool hedge)
+{
+    const time_point now = m_service.m_timers.now();
+    if (hedge) {
+        if (!outcome::may_hedge(m_state) || !m_service.m_hedges.take(now, m_call.m_depth)) {
+            return;
+        }
+        m_service.m_stats.add("hedges_total");
+    }
+    else if (!m_attempts.empty() && !take_retry()) {
+        feed({.m_kind = entry_event_kind::retry_refused});
+        return;
+    }
+    if (m_ticket) {
+        // Callers write tickets; a node connects to none but the mesh's own hosts.
+        if (!m_service.m_hooks.m_is_host(m_ticket->m_address)) {
+            feed({.m_kind = entry_event_kind::no_owner});
+            return;
+        }
+        config::target owner;
+        owner.m_name = m_ticket->m_target;
+        owner.m_host = m_ticket->m_address;
+        start_attempt(std::move(owner));
+        return;
+    }
+    std::vector<std::string> tried;
+    for (const auto& attempt : m_attempts) {
+        tried.push_back(attempt->target().m_name);
+    }
+    reason why;
+    auto target = m_service.choose(*m_config, *m_target_set, m_call, tried, why);
+    if (!target) {
+        m_detail = why.m_text;
+        feed({.m_kind = entry_event_kind::no_owner});
+        return;
+    }
+    start_attempt(std::move(*target));
+    if (m_attempts.size() == 1) {
+        if (const auto delay = m_service.m_hedges.delay_for(m_route->m_service, m_call, now)) {
+            m_hedge_at = now + *delay;
+        }
+    }
+}
+
+void entry_exchange::start_attempt(config::target target)
+{
+    feed({.m_kind = entry_event_kind::owner_chosen});
+    auto attempt =
+        std::make_shared<entry_attempt>(m_service, m_request, m_attempts.size(), std::move(target));
+    m_attempts.push_back(attempt);
+    m_fibers.spawn([attempt] { attempt->run(); });
+}
+
+void entry_exchange::forward_answer(std::size_t index)
+{
+    entry_attempt& attempt = *m_attempts[index];
+    http::header<false> head = attempt.head();
+    remove_hop_fields(head, true);
+    head.erase(http::field::content_length);
+    head.set(outcome_header, "complete");
+    head.set(request_id_header, m_request_id);
+    const unsigned status = head.result_int();
+    feed({.m_kind = entry_event_kind::answer_begins});
+    m_watch.reset();
+    bool sent = false;
+    if (attempt.is_whole()) {
+        reason why;
+        const std::string body = attempt.first_bytes();
+        attempt.finish(true);
+        sent = m_exchange.respond(head, body, clock_type::now() + answer_limit, why);
+    }
+    else {
+        sent = stream_answer(attempt, std::move(head));
+    }
+    if (m_state.m_finished) {
+        return;
+    }
+    if (!sent) {
+        feed({.m_kind = entry_event_kind::caller_left});
+        return;
+    }
+    feed({.m_kind = entry_event_kind::answer_whole});
+    const time_point now = m_service.m_timers.now();
+    m_service.m_retries.success(now);
+    m_service.m_resends.success(now);
+    if (m_call.m_class == config::work_class::short_work) {
+        m_service.m_hedges.answered(m_route->m_service, clock_type::now() - m_arrived, now);
+    }
+    record({outcome::outcome::complete, cause::none}, status);
+}
+
+bool entry_exchange::stream_answer(entry_attempt& attempt, http::header<false> head)
+{
+    reason why;
+    const time_point deadline = m_request.m_deadline;
+    if (!m_exchange.begin(std::move(head), attempt.answer_length(), attempt.first_bytes(), deadline,
+                          why)) {
+        return false;
+    }
+    std::string piece;
+    body_state state = body_state::more;
+    while (state == body_state::more) {
+        state = attempt.read_more(piece, why);
+        if (state == body_state::failed) {
+            feed({.m_kind = entry_event_kind::connection_lost,
+                  .m_attempt = static_cast<std::size_t>(
+                      std::ranges::find_if(m_attempts,
+                                           [&](const auto& a) { return a.get() == &attempt; }) -
+                      m_attempts.begin()),
+                  .m_cause = cause::short_answer});
+            return false;
+        }
+        if (!m_exchange.write(piece, deadline, why)) {
+            return false;
+        }
+    }
+    attempt.finish(true);
+    return m_exchange.finish(deadline, why);
+}
+
+void entry_exchange::refuse(cause why, std::string_view detail)
+{
+    m_detail = detail;
+    answer({outcome::outcome::not_run, why});
+}
+
+void entry_exchange::answer(const outcome::conclusion& end)
+{
+    http::header<false> head;
+    milliseconds hint{};
+    set_conclusion(head, end, hint);
+    head.set(request_id_header, m_request_id);
+    m_watch.reset();
+    // Recorded before the write, so that a caller that has its answer finds it counted.
+    record(end, head.result_int());
+    reason why;
+    m_exchange.respond(head, {}, clock_type::now() + answer_limit, why);
+}
+
+void entry_exchange::record(const outcome::conclusion& end, unsigned status)
+{
+    const duration took = clock_type::now() - m_arrived;
+    const std::string account = m_route != nullptr ? m_route->m_account : "";
+    const std::string work_class =
+        m_route != nullptr ? std::string(config::to_string(m_route->m_class)) : "";
+    const std::string outcome_text(outcome::to_string(end.m_outcome));
+    m_service.m_stats.add("requests_total",
+                          {{"account", account},
+                           {"class", work_class},
+                           {"outcome", outcome_text},
+                           {"reason", std::string(outcome::to_string(end.m_cause))}});
+    if (m_route != nullptr && end.m_outcome == outcome::outcome::complete) {
+        m_service.m_stats.request_latency(account, work_class).record(took);
+    }
+    log_event(end.m_outcome == outcome::outcome::complete ? log_level::debug : log_level::info,
+              "request",
+              {{"id", m_request_id},
+               {"account", account},
+               {"class", work_class},
+               {"route", m_route != nullptr ? m_route->m_name : ""},
+               {"target", m_attempts.empty() ? "" : m_attempts.back()->target().m_name},
+               {"attempts", m_attempts.size()},
+               {"outcome", outcome_text},
+               {"reason", outcome::to_string(end.m_cause)},
+               {"detail", m_detail},
+               {"status", status},
+               {"ms", std::chrono::duration<double, std::milli>(took).count()}});
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -0,0 +1,72 @@
+// One caller's request at its entry, from the head to the end of the answer.
+//
+// The decisions are entry_machine's; this class does what they say: it chooses
+// owners, starts attempts, and passes one answer on. Events may be fed from the
+// event loop and from the attempts' fibers; what waits is done by the exchange's
+// own fiber in run().
+#pragma once
+
+#include "pomelohead/forwarding/connection_watch.h"
+#include "pomelohead/forwarding/entry_attempt.h"
+#include "pomelohead/outcome/ticket.h"
+
+#include <deque>
+
+namespace pomelohead::forwarding {
+
+/// Serves one request of a caller.
+class entry_exchange {
+public:
+    /// Both must outlive the object.
+    entry_exchange(entry_service& service, server_exchange& exchange);
+    entry_exchange(const entry_exchange&) = delete;
+    entry_exchange& operator=(const entry_exchange&) = delete;
+
+    /// Returns when the answer has been sent or the connection is to be closed,
+    /// and no attempt is left.
+    void run();
+
+private:
+    bool find_route();
+    bool read_caller_fields();
+    bool read_body();
+    void build_owner_head();
+    void work();
+    [[nodiscard]] time_point next_wake();
+
+    void feed(const outcome::entry_event& event);
+    void do_at_once(const outcome::entry_action& action);
+    void do_waiting(const outcome::entry_action& action);
+
+    void choose_owner(bool hedge);
+    [[nodiscard]] bool take_retry();
+    void start_attempt(config::target target);
+    void forward_answer(std::size_t attempt);
+    bool stream_answer(entry_attempt& attempt, http::header<false> head);
+    void refuse(outcome::cause why, std::string_view detail = {});
+    void answer(const outcome::conclusion& end);
+    void record(const outcome::conclusion& end, unsigned status);
+
+    entry_service& m_service;
+    server_exchange& m_exchange;
+    config::snapshot_ptr m_config;
+    const config::route* m_route = nullptr;
+    const config::service* m_target_set = nullptr;
+    routing::call_facts m_call;
+    std::string m_request_id;
+    std::optional<outcome::ticket> m_ticket;
+    kept_body m_body;
+    attempt_request m_request;
+    time_point m_arrived{};
+    std::string m_detail; ///< a refusal's explanation for the log
+
+    outcome::entry_state m_state;
+    std::deque<outcome::entry_action> m_todo;
+    fiber_event m_changed;
+    std::vector<std::shared_ptr<entry_attempt>> m_attempts;
+    std::optional<time_point> m_hedge_at;
+    std::unique_ptr<connection_watch> m_watch;
+    fiber_group m_fibers;
+};
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/entry_service.cc
@@ -0,0 +1,134 @@
+#include "pomelohead/forwarding/entry_service.h"
+
+#include "pomelohead/forwarding/entry_exchange.h"
+#include "pomelohead/forwarding/headers.h"
+
+#include <set>
+
+namespace pomelohead::forwarding {
+namespace {
+
+constexpr std::size_t max_idle_per_owner = 64;
+constexpr duration ticket_limit = std::chrono::seconds(2);
+constexpr std::string_view ticket_path = "/.pomelohead/ticket";
+
+} // namespace
+
+entry_service::entry_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
+                             entry_options options, entry_hooks hooks)
+    : m_io(io), m_timers(timers), m_stats(stats), m_options(std::move(options)),
+      m_hooks(std::move(hooks)), m_body_budget(m_options.m_kept_bytes), m_random(m_options.m_seed),
+      m_id_prefix(m_random()),
+      m_selector(m_options.m_routing, m_options.m_failure_domain, m_options.m_region),
+      m_retries(m_options.m_routing.m_retry_share, m_options.m_routing.m_budget_floor_per_s,
+                m_options.m_routing.m_budget_cap),
+      m_resends(m_options.m_routing.m_resend_share, m_options.m_routing.m_budget_floor_per_s,
+                m_options.m_routing.m_budget_cap),
+      m_hedges(m_options.m_routing),
+      m_reachable([this](const config::target& t) { return m_hooks.m_is_alive(t.m_host); }),
+      m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
+{
+}
+
+void entry_service::apply(const config::snapshot& config)
+{
+    m_selector.retain(config);
+    std::set<std::string> hosts;
+    for (const config::service& service : config.m_services) {
+        for (const config::target& target : service.m_targets) {
+            hosts.insert(target.m_host);
+        }
+    }
+    for (auto& [address, pool] : m_pools) {
+        if (!hosts.contains(address)) {
+            pool.clear();
+        }
+    }
+}
+
+void entry_service::serve(server_exchange& exchange)
+{
+    m_hooks.m_request_began();
+    if (std::string_view(exchange.request().head().target()).starts_with(ticket_path)) {
+        issue_ticket(exchange);
+    }
+    else {
+        entry_exchange(*this, exchange).run();
+    }
+    m_hooks.m_request_ended();
+}
+
+std::optional<config::target> entry_service::choose(const config::snapshot& config,
+                                                    const config::service& service,
+                                                    const routing::call_facts& call,
+                                                    const std::vector<std::string>& tried,
+                                                    reason& why)
+{
+    const time_point now = m_timers.now();
+    auto target = m_selector.choose(config, service, call, tried, m_reachable, now, m_random, why);
+    if (!target) {
+        // Membership may be wrong about all of them, as after a cut; a refused
+        // connection is a cheap and certain answer.
+        const routing::reachable_fn anyone = [](const config::target&) { return true; };
+        target = m_selector.choose(config, service, call, tried, anyone, now, m_random, why);
+    }
+    return target;
+}
+
+connection_pool& entry_service::pool(const std::string& address)
+{
+    const auto it = m_pools.find(address);
+    if (it != m_pools.end()) {
+        return it->second;
+    }
+    const endpoint where{address, m_options.m_owner_port};
+    return m_pools.try_emplace(address, m_io, where, max_idle_per_owner).first->second;
+}
+
+std::string entry_service::make_request_id()
+{
+    return std::to_string(m_id_prefix) + "-" + std::to_string(++m_last_id);
+}
+
+// Asks the owner that a request would go to for a ticket, and passes it on.
+void entry_service::issue_ticket(server_exchange& exchange)
+{
+    const std::string_view asked = exchange.request().head().target();
+    const std::string path = query_parameter(asked, "path").value_or("/");
+    const std::string method = query_parameter(asked, "method").value_or("POST");
+    const time_point deadline = clock_type::now() + ticket_limit;
+    http::header<false> head;
+    reason why;
+    const config::snapshot_ptr config = m_hooks.m_config();
+    const config::route* route = config ? config->find_route(method, path) : nullptr;
+    if (route == nullptr) {
+        set_conclusion(head,
+                       {outcome::outcome::not_run,
+                        config ? outcome::cause::no_route : outcome::cause::no_owner},
+                       {});
+        exchange.respond(head, {}, deadline, why);
+        return;
+    }
+    std::vector<std::string> tried;
+    for (std::size_t i = 0; i < m_options.m_attempts; ++i) {
+        const auto target = choose(*config, *config->find_service(route->m_service),
+                                   {.m_class = route->m_class}, tried, why);
+        if (!target) {
+            break;
+        }
+        tried.push_back(target->m_name);
+        const auto text = fetch_ticket(*this, *target, deadline);
+        if (text) {
+            head.result(200);
+            head.set(outcome_header, "complete");
+            head.set(ticket_header, *text);
+            head.set(http::field::content_type, "text/plain");
+            exchange.respond(head, *text + "\n", deadline, why);
+            return;
+        }
+    }
+    set_conclusion(head, {outcome::outcome::not_run, outcome::cause::no_owner}, {});
+    exchange.respond(head, {}, clock_type::now() + ticket_limit, why);
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/entry_service.h
@@ -0,0 +1,95 @@
+// The entry side of a node: takes callers' requests and sends each to an owner.
+//
+// One entry_service per node; it listens on the caller port. Each request is one
+// entry_exchange (entry_exchange.h); what the exchanges of a node share stands
+// here: the choice of owners, the budgets for retries and hedges, and the idle
+// connections to owners.
+//
+//     entry_service entry(io, timers, stats, options, hooks);
+//     entry.apply(snapshot);
+//     reason why;
+//     if (!entry.start(why)) ...
+#pragma once
+
+#include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/forwarding/kept_body.h"
+#include "pomelohead/routing/hedge_policy.h"
+#include "pomelohead/routing/owner_selector.h"
+#include "pomelohead/telemetry/metrics.h"
+
+#include <random>
+
+namespace pomelohead::forwarding {
+
+/// Settings of the entry side.
+struct entry_options {
+    endpoint m_listen;              ///< the caller port
+    std::uint16_t m_owner_port = 0; ///< of all nodes
+    std::string m_failure_domain;
+    std::string m_region;
+    std::uint64_t m_seed = 0; ///< of the random choices
+    std::size_t m_attempts = 3;
+    std::size_t m_kept_bytes_per_request = 1024UL * 1024UL;
+    std::size_t m_kept_bytes = 32UL * 1024UL * 1024UL;
+    routing::routing_options m_routing;
+};
+
+/// What the entry side asks the rest of the node.
+struct entry_hooks {
+    std::function<config::snapshot_ptr()> m_config;
+    std::function<bool(const std::string& address)> m_is_alive; ///< as membership sees it
+    std::function<bool(const std::string& address)> m_is_host;  ///< whether a node may be there
+    std::function<void()> m_request_began;
+    std::function<void()> m_request_ended;
+};
+
+/// The listener for callers and what their requests share.
+class entry_service {
+public:
+    /// All references must outlive the service.
+    entry_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
+                  entry_options options, entry_hooks hooks);
+
+    bool start(reason& why) { return m_server.start(why); }
+
+    /// Follows a new configuration.
+    void apply(const config::snapshot& config);
+
+    [[nodiscard]] http_server& server() { return m_server; }
+    [[nodiscard]] routing::owner_selector& selector() { return m_selector; }
+    [[nodiscard]] const routing::reachable_fn& reachable() const { return m_reachable; }
+
+private:
+    friend class entry_exchange;
+    friend class entry_attempt;
+    friend std::optional<std::string> fetch_ticket(entry_service&, const config::target&,
+                                                   time_point);
+
+    void serve(server_exchange& exchange);
+    void issue_ticket(server_exchange& exchange);
+    std::optional<config::target> choose(const config::snapshot& config,
+                                         const config::service& service,
+                                         const routing::call_facts& call,
+                                         const std::vector<std::string>& tried, reason& why);
+    connection_pool& pool(const std::string& address);
+    std::string make_request_id();
+
+    boost::asio::io_context& m_io;
+    timer_service& m_timers;
+    metrics& m_stats;
+    entry_options m_options;
+    entry_hooks m_hooks;
+    body_budget m_body_budget;
+    std::mt19937_64 m_random;
+    std::uint64_t m_id_prefix;
+    std::uint64_t m_last_id = 0;
+    routing::owner_selector m_selector;
+    routing::retry_budget m_retries;
+    routing::retry_budget m_resends;
+    routing::hedge_policy m_hedges;
+    routing::reachable_fn m_reachable;
+    std::map<std::string, connection_pool> m_pools; ///< by the owner's address
+    http_server m_server;
+};
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/headers.cc
@@ -0,0 +1,151 @@
+#include "pomelohead/forwarding/headers.h"
+
+#include <charconv>
+
+namespace pomelohead::forwarding {
+namespace {
+
+int hex_digit(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    if (c >= 'a' && c <= 'f') {
+        return c - 'a' + 10;
+    }
+    if (c >= 'A' && c <= 'F') {
+        return c - 'A' + 10;
+    }
+    return -1;
+}
+
+std::string decode(std::string_view text)
+{
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size() && hex_digit(text[i + 1]) >= 0 &&
+            hex_digit(text[i + 2]) >= 0) {
+            out += static_cast<char>(hex_digit(text[i + 1]) * 16 + hex_digit(text[i + 2]));
+            i += 2;
+        }
+        else {
+            out += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return out;
+}
+
+// Splits off the part of `text` before `separator`.
+std::string_view next_part(std::string_view& text, char separator)
+{
+    const std::size_t at = text.find(separator);
+    const std::string_view part = text.substr(0, at);
+    text = at == std::string_view::npos ? std::string_view{} : text.substr(at + 1);
+    return part;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> parse_number(std::string_view text, std::uint64_t most)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value > most) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<std::chrono::milliseconds>
+deadline_of(const http::fields& fields, std::chrono::milliseconds otherwise, reason& why)
+{
+    const auto it = fields.find(deadline_header);
+    if (it == fields.end()) {
+        return otherwise;
+    }
+    const auto value = parse_number(it->value(), static_cast<std::uint64_t>(max_deadline.count()));
+    if (!value || *value == 0) {
+        why = {reason_code::malformed, std::string(deadline_header) +
+                                           " must be a whole number from 1 to " +
+                                           std::to_string(max_deadline.count())};
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(*value);
+}
+
+std::string word_text(const admission::load_word& load, std::uint64_t incarnation, bool draining)
+{
+    return "free=" + std::to_string(load.m_free) + " queued=" + std::to_string(load.m_queued) +
+           " long-free=" + std::to_string(load.m_long_free) +
+           " long-queued=" + std::to_string(load.m_long_queued) +
+           " incarnation=" + std::to_string(incarnation) + " draining=" + (draining ? "1" : "0");
+}
+
+std::optional<routing::owner_word> parse_word(std::string_view text, time_point now)
+{
+    routing::owner_word word;
+    word.m_heard = now;
+    int known = 0;
+    while (!text.empty()) {
+        std::string_view part = next_part(text, ' ');
+        const std::string_view name = next_part(part, '=');
+        const auto value = parse_number(part, UINT64_MAX);
+        if (!value) {
+            return std::nullopt;
+        }
+        const auto small = static_cast<std::uint32_t>(std::min<std::uint64_t>(*value, UINT32_MAX));
+        ++known;
+        if (name == "free") {
+            word.m_load.m_free = small;
+        }
+        else if (name == "queued") {
+            word.m_load.m_queued = small;
+        }
+        else if (name == "long-free") {
+            word.m_load.m_long_free = small;
+        }
+        else if (name == "long-queued") {
+            word.m_load.m_long_queued = small;
+        }
+        else if (name == "incarnation") {
+            word.m_incarnation = *value;
+        }
+        else if (name == "draining") {
+            word.m_draining = *value != 0;
+        }
+        else {
+            --known;
+        }
+    }
+    constexpr int all_fields = 6;
+    return known == all_fields ? std::optional(word) : std::nullopt;
+}
+
+std::optional<std::string> query_parameter(std::string_view target, std::string_view name)
+{
+    const std::size_t at = target.find('?');
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string_view query = target.substr(at + 1);
+    while (!query.empty()) {
+        std::string_view value = next_part(query, '&');
+        if (next_part(value, '=') == name) {
+            return decode(value);
+        }
+    }
+    return std::nullopt;
+}
+
+void set_conclusion(http::header<false>& head, const outcome::conclusion& end,
+                    std::chrono::milliseconds retry_hint)
+{
+    head.result(outcome::http_status(end));
+    head.set(outcome_header, outcome::to_string(end.m_outcome));
+    head.set(reason_header, outcome::to_string(end.m_cause));
+    if (const auto after = outcome::retry_after(end, retry_hint)) {
+        head.set(http::field::retry_after, std::to_string(after->count()));
+    }
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/headers.h
@@ -0,0 +1,77 @@
+// The headers that callers, entries, owners and targets exchange.
+//
+// Between an entry and an owner they are the whole protocol: an ordinary HTTP/1.1
+// request with these fields added. docs/CALLERS.md describes those for callers.
+#pragma once
+
+#include "pomelohead/admission/request_facts.h"
+#include "pomelohead/outcome/outcome.h"
+#include "pomelohead/routing/call.h"
+#include "pomelohead/runtime/reason.h"
+
+#include <boost/beast/http/message.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pomelohead::forwarding {
+
+namespace http = boost::beast::http;
+
+// Both ways between callers and entries, and onwards.
+inline constexpr std::string_view request_id_header = "Pomelohead-Request-Id";
+inline constexpr std::string_view deadline_header = "Pomelohead-Deadline-Ms"; ///< time left
+inline constexpr std::string_view depth_header = "Pomelohead-Depth";
+inline constexpr std::string_view ticket_header = "Pomelohead-Ticket";
+inline constexpr std::string_view outcome_header = "Pomelohead-Outcome";
+inline constexpr std::string_view reason_header = "Pomelohead-Reason";
+
+// From an entry to an owner.
+inline constexpr std::string_view target_header = "Pomelohead-Target";
+inline constexpr std::string_view route_header = "Pomelohead-Route";
+inline constexpr std::string_view account_header = "Pomelohead-Account";
+inline constexpr std::string_view class_header = "Pomelohead-Class";
+inline constexpr std::string_view urgency_header = "Pomelohead-Urgency";
+inline constexpr std::string_view version_header = "Pomelohead-Version";
+inline constexpr std::string_view attempt_header = "Pomelohead-Attempt";
+inline constexpr std::string_view apart_header = "Pomelohead-Apart"; ///< run alone, or not at all
+
+// From an owner to an entry.
+inline constexpr std::string_view word_header = "Pomelohead-Word";
+
+// From a target that declined a request without running it.
+inline constexpr std::string_view not_run_header = "Pomelohead-Not-Run";
+
+/// The largest accepted deadline or time left.
+inline constexpr std::chrono::milliseconds max_deadline = std::chrono::hours(24);
+
+/// The largest accepted depth of a call chain.
+inline constexpr std::uint32_t max_depth = 1000;
+
+/// A header's value as a whole number up to `most`; nothing where it is another text.
+[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text, std::uint64_t most);
+
+/// The time left in a deadline header, or `otherwise` where there is none. Fails
+/// where the header is not a number of milliseconds from 1 to max_deadline.
+[[nodiscard]] std::optional<std::chrono::milliseconds>
+deadline_of(const http::fields& fields, std::chrono::milliseconds otherwise, reason& why);
+
+/// What an owner says of itself with each answer.
+[[nodiscard]] std::string word_text(const admission::load_word& load, std::uint64_t incarnation,
+                                    bool draining);
+
+/// Reads word_text(); nothing where it is malformed.
+[[nodiscard]] std::optional<routing::owner_word> parse_word(std::string_view text, time_point now);
+
+/// The value of a parameter in the query part of an HTTP target, with %XX and +
+/// decoded; nothing where it does not stand there.
+[[nodiscard]] std::optional<std::string> query_parameter(std::string_view target,
+                                                         std::string_view name);
+
+/// Sets the outcome headers, the status and Retry-After of an answer that has no
+/// answer of a target in it.
+void set_conclusion(http::header<false>& head, const outcome::conclusion& end,
+                    std::chrono::milliseconds retry_hint);
+
+} // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -63,6 +63,8 @@
     /// Says that the answer to a HEAD request has no body, whatever its head says.
     void expect_no_body();
 
+    /// Whether a head has been read; the calls below need one.
+    [[nodiscard]] bool head_read() const { return m_parser.has_value(); }
     [[nodiscard]] const http::header<IsRequest>& head() const { return m_parser->get().base(); }
     [[nodiscard]] body_framing framing() const;
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -11,6 +11,8 @@
 
 constexpr duration answer_limit = std::chrono::seconds(10);
 constexpr duration accept_pause = std::chrono::milliseconds(50);
+constexpr duration linger_limit = std::chrono::seconds(1);
+constexpr std::size_t linger_bytes = 16UL * 1024UL * 1024UL;
 constexpr int accept_backlog = 1024;
 
 unsigned status_of(const reason& why)
@@ -169,11 +171,28 @@
 {
     while (serve_one(*at)) {
     }
-    error_code ignored;
-    at->m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    linger(*at);
     m_open.erase(at);
 }
 
+// Closing with unread bytes would reset the connection, and the other side might
+// lose the answer that it has not read yet (RFC 9112, section 9.6).
+void http_server::linger(connection& c)
+{
+    error_code error;
+    c.m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    c.m_stream.expires_after(linger_limit);
+    std::size_t left = linger_bytes;
+    std::array<char, 4096> ignored{};
+    while (!error && left > 0 && !m_listener_closed) {
+        std::size_t size = 0;
+        std::tie(error, size) = await<error_code, std::size_t>([&](auto handler) {
+            c.m_stream.async_read_some(boost::asio::buffer(ignored), std::move(handler));
+        });
+        left -= std::min(left, size);
+    }
+}
+
 bool http_server::serve_one(connection& c)
 {
     request_reader request(c.m_stream, c.m_buffer);
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -125,6 +125,7 @@
     void accept_loop();
     void serve(connection_list::iterator at);
     bool serve_one(connection& c);
+    void linger(connection& c);
     void refuse(connection& c, const reason& why);
 
     boost::asio::io_context& m_io;
--- /dev/null
+++ b/pomelohead/forwarding/kept_body.h
@@ -0,0 +1,65 @@
+// The first bytes of a request's body, kept until it can go on.
+//
+// An upload over a poor link must not hold a slot of its target while its bytes
+// trickle in, so a body is first collected, up to a limit per request and one for
+// the whole node. A body that is collected whole can also be sent a second time.
+//
+//     body_budget budget(32 * 1024 * 1024);
+//     kept_body body(budget, 1024 * 1024);
+//     reason why;
+//     if (!body.collect(request, deadline, why)) ...   // the caller is lost or too slow
+//     body.whole();    // nothing is left to read
+//     body.bytes();
+#pragma once
+
+#include "pomelohead/forwarding/http_message.h"
+
+namespace pomelohead::forwarding {
+
+/// The memory that kept bodies of one node may use together.
+class body_budget {
+public:
+    explicit body_budget(std::size_t bytes) : m_left(bytes) {}
+
+    /// Takes up to `bytes`; returns how many were granted.
+    std::size_t take(std::size_t bytes);
+    void give_back(std::size_t bytes) { m_left += bytes; }
+
+    [[nodiscard]] std::size_t left() const { return m_left; }
+
+private:
+    std::size_t m_left;
+};
+
+/// The collected part of one body.
+class kept_body {
+public:
+    /// What a body may always keep, whatever the budget says.
+    static constexpr std::size_t min_bytes = 64UL * 1024UL;
+
+    kept_body(body_budget& budget, std::size_t max_bytes) : m_budget(budget), m_max_bytes(max_bytes)
+    {
+    }
+    kept_body(const kept_body&) = delete;
+    kept_body& operator=(const kept_body&) = delete;
+    ~kept_body() { release(); }
+
+    /// Reads until the body is whole or a limit is reached. Fails where the
+    /// connection does.
+    bool collect(request_reader& request, time_point deadline, reason& why);
+
+    [[nodiscard]] bool whole() const { return m_whole; }
+    [[nodiscard]] const std::string& bytes() const { return m_bytes; }
+
+    /// Forgets the bytes and returns their memory.
+    void release();
+
+private:
+    body_budget& m_budget;
+    std::size_t m_max_bytes;
+    std::size_t m_granted = 0;
+    std::string m_bytes;
+    bool m_whole = false;
+};
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/owned_target.cc
@@ -0,0 +1,141 @@
+#include "pomelohead/forwarding/owned_target.h"
+
+namespace pomelohead::forwarding {
+namespace {
+
+constexpr duration probe_limit = std::chrono::milliseconds(200);
+constexpr milliseconds apart_retry_after{1000};
+
+} // namespace
+
+owned_target::owned_target(boost::asio::io_context& io, timer_service& timers,
+                           config::target target, admission::admission_options options)
+    : m_io(io), m_timers(timers), m_target(std::move(target)), m_queue(options, m_target.m_slots),
+      m_pool(io, {m_target.m_host, m_target.m_port}, m_target.m_connections)
+{
+}
+
+void owned_target::update(const config::target& target, const std::vector<config::shed_rule>& rules)
+{
+    const std::uint32_t old_slots = m_target.m_slots;
+    m_target = target;
+    m_queue.set_rules(rules);
+    if (target.m_slots != old_slots) {
+        start(m_queue.set_limit(target.m_slots, m_timers.now()));
+    }
+    pump();
+}
+
+admission::decision owned_target::offer(const admission::request_facts& facts, bool apart,
+                                        slot_hooks hooks)
+{
+    const bool occupied = apart && (m_queue.running() > 0 || m_queue.queued() > 0);
+    if (occupied || m_apart_id != 0) {
+        return {admission::verdict::refused,
+                {reason_code::refused, "the target runs one request apart from others"},
+                apart_retry_after};
+    }
+    const admission::decision decision = m_queue.offer(facts, m_timers.now());
+    if (decision.m_verdict == admission::verdict::queued) {
+        m_waiting.emplace(facts.m_id, std::move(hooks));
+    }
+    if (apart && decision.m_verdict != admission::verdict::refused) {
+        m_apart_id = facts.m_id;
+    }
+    pump();
+    return decision;
+}
+
+void owned_target::withdraw(std::uint64_t id)
+{
+    if (m_queue.withdraw(id)) {
+        m_waiting.erase(id);
+    }
+    if (m_apart_id == id) {
+        m_apart_id = 0;
+    }
+    pump();
+}
+
+void owned_target::release(std::uint64_t id, admission::run_end how)
+{
+    m_flights.erase(id);
+    if (m_apart_id == id) {
+        m_apart_id = 0;
+    }
+    start(m_queue.finish(id, m_timers.now(), how));
+    pump();
+}
+
+void owned_target::start(const std::vector<std::uint64_t>& ids)
+{
+    for (const std::uint64_t id : ids) {
+        const auto it = m_waiting.find(id);
+        if (it == m_waiting.end()) {
+            continue;
+        }
+        const slot_hooks hooks = std::move(it->second);
+        m_waiting.erase(it);
+        hooks.m_granted();
+    }
+}
+
+void owned_target::pump()
+{
+    const time_point now = m_timers.now();
+    for (const std::uint64_t id : m_queue.expire(now)) {
+        const auto it = m_waiting.find(id);
+        if (it == m_waiting.end()) {
+            continue;
+        }
+        const slot_hooks hooks = std::move(it->second);
+        m_waiting.erase(it);
+        if (m_apart_id == id) {
+            m_apart_id = 0;
+        }
+        hooks.m_refused(m_queue.retry_after(id));
+    }
+    start(m_queue.due_starts(now));
+    m_wake.cancel();
+    if (const auto next = m_queue.next_deadline()) {
+        const duration delay = std::max<duration>(*next - now, milliseconds(1));
+        m_wake = m_timers.after(delay, [this] { pump(); });
+    }
+}
+
+std::uint64_t owned_target::handed_over(std::uint64_t id, std::string fingerprint)
+{
+    m_flights[id] = {m_epoch, std::move(fingerprint)};
+    return m_epoch;
+}
+
+std::vector<std::string> owned_target::end_epoch(std::uint64_t epoch)
+{
+    if (epoch != m_epoch) {
+        return {};
+    }
+    ++m_epoch;
+    m_pool.clear();
+    std::vector<std::string> fingerprints;
+    for (const auto& [id, flight] : m_flights) {
+        if (flight.m_epoch == epoch) {
+            fingerprints.push_back(flight.m_fingerprint);
+        }
+    }
+    return fingerprints;
+}
+
+bool owned_target::runs_alone(std::uint64_t id) const
+{
+    return m_flights.size() == 1 && m_flights.begin()->first == id;
+}
+
+bool owned_target::probe_crashed()
+{
+    reason why;
+    const auto probe =
+        connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
+    return probe == nullptr && why.m_code == reason_code::unreachable;
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/owned_target.h
@@ -0,0 +1,93 @@
+// The owner's state of one target beside it: slots, connections, crashes.
+//
+// All requests for the target pass through this object, so its counts are exact.
+// A request waits here for its slot and hears by a hook when it is granted or
+// refused:
+//
+//     std::uint64_t id = target.next_id();
+//     admission::decision d = target.offer(facts, {.m_granted = ..., .m_refused = ...});
+//     ...
+//     target.release(id, run_end::complete);
+#pragma once
+
+#include "pomelohead/admission/slot_queue.h"
+#include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/outcome/quarantine.h"
+
+#include <map>
+
+namespace pomelohead::forwarding {
+
+/// How a waiting request learns of its turn. Called from the event loop or
+/// another request's fiber; must not wait.
+struct slot_hooks {
+    std::function<void()> m_granted;
+    std::function<void(milliseconds retry_after)> m_refused;
+};
+
+/// One target and all requests that it runs or that wait for it.
+class owned_target {
+public:
+    /// `io` and `timers` must outlive the object.
+    owned_target(boost::asio::io_context& io, timer_service& timers, config::target target,
+                 admission::admission_options options);
+
+    [[nodiscard]] const config::target& target() const { return m_target; }
+
+    /// Takes over changed slots, rules or connections.
+    void update(const config::target& target, const std::vector<config::shed_rule>& rules);
+
+    /// A number for a new request.
+    [[nodiscard]] std::uint64_t next_id() { return ++m_last_id; }
+
+    /// Offers a request. Where it is queued, exactly one hook is called later,
+    /// unless withdraw() comes first. `apart` asks to run alone.
+    [[nodiscard]] admission::decision offer(const admission::request_facts& facts, bool apart,
+                                            slot_hooks hooks);
+
+    /// Takes a queued request out.
+    void withdraw(std::uint64_t id);
+
+    /// Gives back a slot.
+    void release(std::uint64_t id, admission::run_end how);
+
+    [[nodiscard]] admission::load_word word() const { return m_queue.word(); }
+    [[nodiscard]] const admission::slot_queue& queue() const { return m_queue; }
+    [[nodiscard]] connection_pool& pool() { return m_pool; }
+
+    /// Notes what the target is about to run; returns the epoch it runs in.
+    std::uint64_t handed_over(std::uint64_t id, std::string fingerprint);
+
+    /// Ends the epoch because the target's process ended, and returns the
+    /// fingerprints in flight. Empty where the epoch has already ended.
+    [[nodiscard]] std::vector<std::string> end_epoch(std::uint64_t epoch);
+
+    /// Whether nothing but `id` is running.
+    [[nodiscard]] bool runs_alone(std::uint64_t id) const;
+
+    /// Whether the target's process has ended, as far as a new connection tells.
+    [[nodiscard]] bool probe_crashed();
+
+private:
+    struct flight {
+        std::uint64_t m_epoch = 0;
+        std::string m_fingerprint;
+    };
+
+    void start(const std::vector<std::uint64_t>& ids);
+    void pump();
+
+    boost::asio::io_context& m_io;
+    timer_service& m_timers;
+    config::target m_target;
+    admission::slot_queue m_queue;
+    connection_pool m_pool;
+    std::uint64_t m_last_id = 0;
+    std::uint64_t m_epoch = 1;
+    std::uint64_t m_apart_id = 0; ///< the request that runs apart; 0: none
+    std::map<std::uint64_t, slot_hooks> m_waiting;
+    std::map<std::uint64_t, flight> m_flights;
+    timer_subscription m_wake;
+};
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -0,0 +1,571 @@
+#include "pomelohead/forwarding/owner_exchange.h"
+
+#include "pomelohead/forwarding/headers.h"
+#include "pomelohead/outcome/fingerprint.h"
+#include "pomelohead/telemetry/log.h"
+
+namespace pomelohead::forwarding {
+namespace {
+
+using outcome::cause;
+using outcome::owner_action_kind;
+using outcome::owner_event_kind;
+using outcome::owner_phase;
+
+// Answers up to this size are taken whole before a byte of them goes on, so that a
+// cut one becomes a clear refusal instead of a broken connection.
+constexpr std::size_t whole_answer_bytes = 64UL * 1024UL;
+
+constexpr duration answer_limit = std::chrono::seconds(10);
+constexpr milliseconds default_deadline = std::chrono::minutes(1);
+
+std::string text_of(std::string_view value)
+{
+    return std::string(value);
+}
+
+outcome::request_content content_of(const http::header<true>& head, const std::string& body)
+{
+    outcome::request_content content;
+    content.m_method = text_of(head.method_string());
+    content.m_target = text_of(head.target());
+    for (const auto& field : head) {
+        content.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
+    }
+    content.m_body_prefix = body.substr(0, outcome::fingerprint_body_bytes);
+    return content;
+}
+
+config::urgency parse_urgency(std::string_view text)
+{
+    if (text == config::to_string(config::urgency::urgent)) {
+        return config::urgency::urgent;
+    }
+    return text == config::to_string(config::urgency::deferrable) ? config::urgency::deferrable
+                                                                  : config::urgency::normal;
+}
+
+} // namespace
+
+owner_exchange::owner_exchange(owner_service& service, server_exchange& exchange)
+    : m_service(service), m_exchange(exchange),
+      m_body(service.m_body_budget, service.m_options.m_kept_bytes_per_request),
+      m_arrived(clock_type::now())
+{
+}
+
+void owner_exchange::run()
+{
+    if (!read_head_fields() || !find_target() || !read_body() || !judge_ticket() ||
+        !judge_quarantine()) {
+        return;
+    }
+    if (m_body.whole()) {
+        m_watch = std::make_unique<connection_watch>(
+            m_exchange.stream(), [this] { feed({.m_kind = owner_event_kind::entry_left}); });
+    }
+    ask_for_slot();
+    work();
+    m_watch.reset();
+}
+
+bool owner_exchange::read_head_fields()
+{
+    const http::header<true>& head = m_exchange.request().head();
+    reason why;
+    const auto left = deadline_of(head, default_deadline, why);
+    if (!left) {
+        refuse(cause::malformed_request);
+        return false;
+    }
+    m_deadline = m_arrived + *left;
+    m_request_id = text_of(head[request_id_header]);
+    m_facts.m_account = text_of(head[account_header]);
+    m_facts.m_route = text_of(head[route_header]);
+    m_facts.m_class = head[class_header] == "long" ? config::work_class::long_work
+                                                   : config::work_class::short_work;
+    m_facts.m_urgency = parse_urgency(head[urgency_header]);
+    m_facts.m_depth =
+        static_cast<std::uint32_t>(parse_number(head[depth_header], max_depth).value_or(0));
+    m_facts.m_deadline = m_deadline;
+    m_apart = head[apart_header] == "true";
+    if (head.count(ticket_header) > 0) {
+        m_ticket = outcome::parse_ticket(head[ticket_header], why);
+        if (!m_ticket) {
+            refuse(cause::malformed_ticket);
+            return false;
+        }
+        m_state.m_has_ticket = true;
+    }
+    return true;
+}
+
+bool owner_exchange::find_target()
+{
+    const std::string name = text_of(m_exchange.request().head()[target_header]);
+    const auto it = m_service.m_targets.find(name);
+    if (it != m_service.m_targets.end()) {
+        m_target = it->second;
+        m_id = m_target->next_id();
+        m_facts.m_id = m_id;
+        return true;
+    }
+    if (!m_ticket) {
+        refuse(cause::misdirected);
+        return false;
+    }
+    // The ticket may have run before the target was taken away: only the ledger knows.
+    const auto known =
+        m_service.m_ledger.present(*m_ticket, m_ticket->m_target, m_service.m_timers.now());
+    m_state.m_has_ticket = false;
+    if (known.m_verdict == outcome::ticket_verdict::run) {
+        const outcome::conclusion end{outcome::outcome::not_run, cause::misdirected};
+        m_service.m_ledger.finish(m_ticket->m_serial, end, nullptr, m_service.m_timers.now());
+        answer(end);
+    }
+    else {
+        answer({outcome::outcome::unknown, cause::misdirected});
+    }
+    return false;
+}
+
+bool owner_exchange::read_body()
+{
+    // A body that the entry offers by Expect is asked for once there is a slot.
+    const bool offered = m_exchange.request().head().count(http::field::expect) > 0;
+    if (offered) {
+        return true;
+    }
+    reason why;
+    if (m_body.collect(m_exchange.request(), m_deadline, why)) {
+        return true;
+    }
+    m_exchange.close_after();
+    if (why.m_code == reason_code::timed_out) {
+        refuse(cause::deadline);
+    }
+    return false;
+}
+
+bool owner_exchange::judge_ticket()
+{
+    const std::string digest =
+        outcome::make_fingerprint(content_of(m_exchange.request().head(), m_body.bytes()));
+    m_fingerprint = digest;
+    while (m_ticket) {
+        const outcome::ticket_decision decision =
+            m_service.m_ledger.present(*m_ticket, digest, m_service.m_timers.now());
+        switch (decision.m_verdict) {
+        case outcome::ticket_verdict::run:
+            m_service.m_ticket_ends[m_ticket->m_serial] = std::make_shared<fiber_event>();
+            return true;
+        case outcome::ticket_verdict::attach: {
+            const auto end = m_service.m_ticket_ends[m_ticket->m_serial];
+            if (!end || !end->wait_for(m_deadline - clock_type::now())) {
+                answer({outcome::outcome::unknown, cause::deadline});
+                return false;
+            }
+            break;
+        }
+        case outcome::ticket_verdict::replay:
+            m_answer = decision.m_answer;
+            answer(decision.m_end);
+            return false;
+        case outcome::ticket_verdict::refuse:
+            answer(decision.m_end);
+            return false;
+        }
+    }
+    return true;
+}
+
+bool owner_exchange::judge_quarantine()
+{
+    const auto verdict = m_service.m_quarantine.check(m_fingerprint, m_service.m_timers.now());
+    if (verdict == outcome::quarantine_verdict::refuse) {
+        m_service.m_stats.add("quarantine_refused_total");
+        feed({.m_kind = owner_event_kind::refused, .m_cause = cause::quarantined});
+        work();
+        return false;
+    }
+    m_apart = m_apart || verdict == outcome::quarantine_verdict::apart;
+    return true;
+}
+
+void owner_exchange::ask_for_slot()
+{
+    if (const auto why = outcome::refusal(facts())) {
+        feed({.m_kind = owner_event_kind::refused, .m_cause = *why});
+        return;
+    }
+    const admission::decision decision = m_target->offer(
+        m_facts, m_apart,
+        {.m_granted =
+             [this] { feed({.m_kind = owner_event_kind::slot_granted, .m_facts = facts()}); },
+         .m_refused =
+             [this](milliseconds retry_after) {
+                 m_retry_hint = retry_after;
+                 feed({.m_kind = owner_event_kind::refused, .m_cause = cause::overloaded});
+             }});
+    switch (decision.m_verdict) {
+    case admission::verdict::start:
+        feed({.m_kind = owner_event_kind::slot_granted, .m_facts = facts()});
+        return;
+    case admission::verdict::queued:
+        feed({.m_kind = owner_event_kind::queued});
+        return;
+    case admission::verdict::refused:
+        m_retry_hint = decision.m_retry_after;
+        feed({.m_kind = owner_event_kind::refused,
+              .m_cause = m_apart ? cause::no_idle_target : cause::overloaded});
+        return;
+    }
+}
+
+void owner_exchange::work()
+{
+    while (true) {
+        if (!m_todo.empty()) {
+            const outcome::owner_action action = m_todo.front();
+            m_todo.pop_front();
+            do_waiting(action);
+            continue;
+        }
+        if (m_state.m_phase == owner_phase::finished) {
+            return;
+        }
+        m_changed.reset();
+        if (!m_changed.wait_for(std::max<duration>(m_deadline - clock_type::now(), {}))) {
+            feed({.m_kind = owner_event_kind::deadline});
+        }
+    }
+}
+
+void owner_exchange::feed(const outcome::owner_event& event)
+{
+    outcome::owner_step next = outcome::step(m_state, event);
+    m_state = next.m_state;
+    for (const outcome::owner_action& action : next.m_actions) {
+        do_at_once(action);
+    }
+    m_changed.set();
+}
+
+void owner_exchange::do_at_once(const outcome::owner_action& action)
+{
+    const time_point now = m_service.m_timers.now();
+    switch (action.m_kind) {
+    case owner_action_kind::close_target:
+        if (m_connection) {
+            m_connection->m_stream.close();
+        }
+        return;
+    case owner_action_kind::release_slot:
+        m_target->release(m_id,
+                          m_answered ? admission::run_end::complete : admission::run_end::cut);
+        return;
+    case owner_action_kind::withdraw:
+        m_target->withdraw(m_id);
+        return;
+    case owner_action_kind::report_crash: {
+        const std::vector<std::string> in_flight = m_target->end_epoch(m_epoch);
+        if (!in_flight.empty()) {
+            m_service.m_stats.add("target_crashes_total");
+            log_event(log_level::warning, "target_crashed",
+                      {{"target", m_target->target().m_name}, {"in_flight", in_flight.size()}});
+            m_service.m_quarantine.crashed(m_target->target().m_name + "/" +
+                                               std::to_string(m_service.m_options.m_incarnation) +
+                                               "/" + std::to_string(m_epoch),
+                                           in_flight, now);
+        }
+        return;
+    }
+    case owner_action_kind::record:
+        if (m_ticket) {
+            m_service.m_ledger.finish(m_ticket->m_serial, action.m_end, m_answer, now);
+            if (const auto node = m_service.m_ticket_ends.extract(m_ticket->m_serial)) {
+                node.mapped()->set();
+            }
+        }
+        return;
+    default:
+        m_todo.push_back(action);
+        return;
+    }
+}
+
+void owner_exchange::do_waiting(const outcome::owner_action& action)
+{
+    switch (action.m_kind) {
+    case owner_action_kind::connect_target:
+        connect_target();
+        return;
+    case owner_action_kind::write_request:
+        write_request();
+        return;
+    case owner_action_kind::answer:
+        if (!m_state.m_entry_gone) {
+            answer(action.m_end);
+        }
+        return;
+    case owner_action_kind::cut_entry:
+        m_exchange.close_after();
+        m_exchange.stream().close();
+        return;
+    default:
+        return;
+    }
+}
+
+outcome::handover_facts owner_exchange::facts() const
+{
+    const std::string& name = m_target->target().m_name;
+    const auto it = m_service.m_targets.find(name);
+    return {.m_deadline_passed = clock_type::now() >= m_deadline,
+            .m_draining = m_service.m_hooks.m_is_draining(name),
+            .m_owns_target = it != m_service.m_targets.end() && it->second == m_target,
+            .m_quarantined =
+                m_service.m_quarantine.check(m_fingerprint, m_service.m_timers.now()) ==
+                outcome::quarantine_verdict::refuse,
+            .m_entry_present = !m_state.m_entry_gone};
+}
+
+void owner_exchange::connect_target()
+{
+    reason why;
+    m_connection = m_target->pool().take(m_deadline, why);
+    if (!m_connection) {
+        feed({.m_kind = owner_event_kind::connect_failed});
+        return;
+    }
+    if (!m_body.whole()) {
+        reason lost;
+        if (!m_exchange.send_continue(m_deadline, lost)) {
+            feed({.m_kind = owner_event_kind::entry_left});
+        }
+    }
+    feed({.m_kind = owner_event_kind::ready_to_write, .m_facts = facts()});
+}
+
+void owner_exchange::write_request()
+{
+    http::header<true> head = m_exchange.request().head();
+    remove_hop_fields(head, true);
+    head.set(request_id_header, m_request_id);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_deadline - clock_type::now()).count();
+    head.set(deadline_header, std::to_string(std::max<std::int64_t>(left, 1)));
+    head.set(depth_header, std::to_string(m_facts.m_depth));
+
+    m_epoch = m_target->handed_over(m_id, m_fingerprint);
+    message_writer writer(m_connection->m_stream);
+    reason why;
+    const body_framing framing = m_exchange.request().framing();
+    bool written = writer.write_head(head, framing, m_body.bytes(), m_deadline, why);
+    if (written && !m_body.whole()) {
+        written = send_rest_of_body(writer);
+    }
+    else if (written) {
+        written = writer.finish(m_deadline, why);
+    }
+    if (m_state.m_phase == owner_phase::finished) {
+        return;
+    }
+    // A target may answer before it has read all; a failed write does not say that
+    // it has not.
+    read_answer();
+}
+
+bool owner_exchange::send_rest_of_body(message_writer& writer)
+{
+    m_body.release();
+    std::string piece;
+    reason why;
+    while (true) {
+        const body_state state =
+            m_exchange.request().read_body(piece, max_piece_bytes, m_deadline, why);
+        if (state == body_state::failed) {
+            feed({.m_kind = why.m_code == reason_code::timed_out ? owner_event_kind::deadline
+                                                                 : owner_event_kind::entry_left});
+            if (m_state.m_phase != owner_phase::finished) {
+                feed({.m_kind = owner_event_kind::target_lost, .m_cause = cause::caller_left});
+            }
+            return false;
+        }
+        if (!writer.write_body(piece, m_deadline, why)) {
+            return false;
+        }
+        if (state == body_state::end) {
+            return writer.finish(m_deadline, why);
+        }
+    }
+}
+
+void owner_exchange::target_failed(const reason& why, cause otherwise)
+{
+    if (m_state.m_phase == owner_phase::finished) {
+        return;
+    }
+    if (why.m_code == reason_code::timed_out) {
+        feed({.m_kind = owner_event_kind::deadline});
+        return;
+    }
+    const bool lost =
+        why.m_code == reason_code::interrupted || why.m_code == reason_code::cancelled;
+    const bool crashed = lost && m_target->probe_crashed();
+    feed({.m_kind = owner_event_kind::target_lost,
+          .m_cause = crashed ? cause::target_crashed : otherwise});
+}
+
+void owner_exchange::read_answer()
+{
+    reason why;
+    m_reader.emplace(m_connection->m_stream, m_connection->m_buffer);
+    do {
+        if (!m_reader->read_head({.m_first_byte = m_deadline}, why)) {
+            target_failed(why, cause::target_lost);
+            return;
+        }
+    } while (m_reader->head().result_int() < 200);
+    const http::header<false>& head = m_reader->head();
+    if (m_exchange.request().head().method() == http::verb::head) {
+        m_reader->expect_no_body();
+    }
+    const auto echoed = head.find(request_id_header);
+    if (echoed != head.end() && echoed->value() != m_request_id) {
+        target_failed({reason_code::conflict, "the answer is to another request"},
+                      cause::foreign_answer);
+        return;
+    }
+    std::string body;
+    std::string piece;
+    body_state state = m_reader->done() ? body_state::end : body_state::more;
+    while (state == body_state::more && body.size() < whole_answer_bytes) {
+        state = m_reader->read_body(piece, max_piece_bytes, m_deadline, why);
+        body += piece;
+    }
+    if (state == body_state::failed) {
+        target_failed(why, cause::short_answer);
+    }
+    else if (head.result_int() == 503 && head[not_run_header] == "true") {
+        keep_connection();
+        feed({.m_kind = owner_event_kind::target_refused});
+    }
+    else if (state == body_state::end) {
+        take_whole_answer(head, std::move(body));
+    }
+    else {
+        stream_answer(head, std::move(body));
+    }
+}
+
+void owner_exchange::keep_connection()
+{
+    const bool reusable = m_reader->done() && m_reader->keep_alive() &&
+                          m_state.m_phase != owner_phase::finished && m_exchange.request().done();
+    m_reader.reset();
+    if (reusable) {
+        m_target->pool().give_back(std::move(m_connection));
+    }
+    m_connection.reset();
+}
+
+void owner_exchange::take_whole_answer(const http::header<false>& head, std::string body)
+{
+    outcome::kept_answer answer{.m_status = static_cast<std::uint16_t>(head.result_int()),
+                                .m_body = std::move(body)};
+    http::fields fields = head;
+    remove_hop_fields(fields, true);
+    fields.erase(http::field::content_length);
+    for (const auto& field : fields) {
+        answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
+    }
+    if (m_target->runs_alone(m_id)) {
+        m_service.m_quarantine.ran_well(m_fingerprint, m_service.m_timers.now());
+    }
+    m_answer = std::make_shared<const outcome::kept_answer>(std::move(answer));
+    keep_connection();
+    m_answered = true;
+    feed({.m_kind = owner_event_kind::answer_whole});
+}
+
+void owner_exchange::stream_answer(const http::header<false>& target_head, std::string first_piece)
+{
+    http::header<false> head = target_head;
+    remove_hop_fields(head, true);
+    head.erase(http::field::content_length);
+    add_own_fields(head);
+    head.set(outcome_header, "complete");
+    feed({.m_kind = owner_event_kind::answer_begins});
+    m_watch.reset();
+    reason why;
+    if (!m_exchange.begin(head, m_reader->content_length(), first_piece, m_deadline, why)) {
+        feed({.m_kind = owner_event_kind::entry_left});
+    }
+    std::string piece;
+    body_state state = body_state::more;
+    while (state == body_state::more && m_state.m_phase != owner_phase::finished) {
+        state = m_reader->read_body(piece, max_piece_bytes, m_deadline, why);
+        if (state == body_state::failed) {
+            target_failed(why, cause::short_answer);
+        }
+        else if (!m_state.m_entry_gone && !m_exchange.write(piece, m_deadline, why)) {
+            feed({.m_kind = owner_event_kind::entry_left});
+        }
+    }
+    if (state == body_state::end && m_state.m_phase != owner_phase::finished) {
+        keep_connection();
+        m_answered = true;
+        feed({.m_kind = owner_event_kind::answer_whole});
+        m_exchange.finish(m_deadline, why);
+    }
+}
+
+void owner_exchange::refuse(cause why, milliseconds retry_hint)
+{
+    m_retry_hint = retry_hint;
+    answer({outcome::outcome::not_run, why});
+}
+
+void owner_exchange::add_own_fields(http::header<false>& head) const
+{
+    head.set(request_id_header, m_request_id);
+    if (m_target) {
+        head.set(word_header,
+                 word_text(m_target->word(), m_service.m_options.m_incarnation,
+                           m_service.m_hooks.m_is_draining(m_target->target().m_name)));
+    }
+}
+
+void owner_exchange::answer(const outcome::conclusion& end)
+{
+    m_service.m_stats.add("owner_requests_total",
+                          {{"outcome", std::string(outcome::to_string(end.m_outcome))},
+                           {"reason", std::string(outcome::to_string(end.m_cause))}});
+    if (end.m_outcome == outcome::outcome::complete && m_answer) {
+        send_whole(m_answer->m_status, *m_answer);
+        return;
+    }
+    http::header<false> head;
+    set_conclusion(head, end, m_retry_hint);
+    add_own_fields(head);
+    reason why;
+    m_watch.reset();
+    m_exchange.respond(head, {}, clock_type::now() + answer_limit, why);
+}
+
+void owner_exchange::send_whole(std::uint16_t status, const outcome::kept_answer& answer)
+{
+    http::header<false> head;
+    head.result(status);
+    for (const auto& field : answer.m_headers) {
+        head.insert(field.m_name, field.m_value);
+    }
+    add_own_fields(head);
+    head.set(outcome_header, "complete");
+    reason why;
+    m_watch.reset();
+    m_exchange.respond(head, answer.m_body, clock_type::now() + answer_limit, why);
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/owner_service.cc
@@ -0,0 +1,96 @@
+#include "pomelohead/forwarding/owner_service.h"
+
+#include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/owner_exchange.h"
+#include "pomelohead/telemetry/log.h"
+
+#include <random>
+
+namespace pomelohead::forwarding {
+namespace {
+
+constexpr duration answer_limit = std::chrono::seconds(10);
+
+std::uint64_t random_number()
+{
+    static std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+owner_service::owner_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
+                             owner_options options, owner_hooks hooks)
+    : m_io(io), m_timers(timers), m_stats(stats), m_options(std::move(options)),
+      m_hooks(std::move(hooks)), m_body_budget(m_options.m_kept_bytes),
+      m_quarantine(m_options.m_quarantine),
+      m_ledger(m_options.m_tickets, m_options.m_listen.m_address, m_options.m_incarnation,
+               random_number),
+      m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
+{
+}
+
+void owner_service::apply(const config::snapshot& config)
+{
+    std::map<std::string, std::shared_ptr<owned_target>> kept;
+    for (const config::service& service : config.m_services) {
+        for (const config::target& target : service.m_targets) {
+            if (target.m_host != m_options.m_listen.m_address) {
+                continue;
+            }
+            const auto old = m_targets.find(target.m_name);
+            const bool same_process = old != m_targets.end() &&
+                                      old->second->target().m_port == target.m_port &&
+                                      old->second->target().m_connections == target.m_connections;
+            auto& slot = kept[target.m_name];
+            slot = same_process ? old->second
+                                : std::make_shared<owned_target>(m_io, m_timers, target,
+                                                                 m_options.m_admission);
+            slot->update(target, config.m_sheds);
+        }
+    }
+    // Targets that are gone live on in the exchanges that still run on them.
+    m_targets = std::move(kept);
+}
+
+void owner_service::serve(server_exchange& exchange)
+{
+    m_hooks.m_request_began();
+    const std::string_view path = exchange.request().head().target();
+    if (path.starts_with("/.pomelohead/ticket")) {
+        issue_ticket(exchange);
+    }
+    else {
+        owner_exchange(*this, exchange).run();
+    }
+    m_hooks.m_request_ended();
+}
+
+void owner_service::issue_ticket(server_exchange& exchange)
+{
+    const std::string name =
+        query_parameter(exchange.request().head().target(), "target").value_or("");
+    http::header<false> head;
+    reason why;
+    std::optional<outcome::ticket> ticket;
+    if (m_targets.contains(name) && !m_hooks.m_is_draining(name)) {
+        ticket = m_ledger.issue(name, m_timers.now(), why);
+    }
+    if (!ticket) {
+        const bool mine = m_targets.contains(name);
+        set_conclusion(head,
+                       {outcome::outcome::not_run, !mine ? outcome::cause::misdirected
+                                                   : why.m_code == reason_code::rate_limited
+                                                       ? outcome::cause::overloaded
+                                                       : outcome::cause::draining},
+                       milliseconds{});
+        exchange.respond(head, {}, clock_type::now() + answer_limit, why);
+        return;
+    }
+    head.result(200);
+    head.set(outcome_header, "complete");
+    head.set(http::field::content_type, "text/plain");
+    exchange.respond(head, outcome::to_text(*ticket), clock_type::now() + answer_limit, why);
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/owner_service.h
@@ -0,0 +1,78 @@
+// The owner side of a node: takes requests from entries and hands them to the
+// target beside it.
+//
+// One owner_service per node; it listens on the owner port. Which targets it owns
+// follows from the configuration: those on its own address. Each request is one
+// owner_exchange (owner_exchange.h).
+//
+//     owner_service owner(io, timers, stats, options, hooks);
+//     owner.apply(snapshot);
+//     reason why;
+//     if (!owner.start(why)) ...
+#pragma once
+
+#include "pomelohead/forwarding/kept_body.h"
+#include "pomelohead/forwarding/owned_target.h"
+#include "pomelohead/outcome/ticket.h"
+#include "pomelohead/telemetry/metrics.h"
+
+namespace pomelohead::forwarding {
+
+/// Settings of the owner side.
+struct owner_options {
+    endpoint m_listen;               ///< the owner port
+    std::uint64_t m_incarnation = 0; ///< of this process; goes into tickets
+    std::size_t m_kept_bytes_per_request = 1024UL * 1024UL;
+    std::size_t m_kept_bytes = 32UL * 1024UL * 1024UL;
+    admission::admission_options m_admission;
+    outcome::quarantine_options m_quarantine;
+    outcome::ticket_options m_tickets;
+};
+
+/// What the owner side asks the rest of the node.
+struct owner_hooks {
+    std::function<config::snapshot_ptr()> m_config;
+    std::function<bool(const std::string& target)> m_is_draining; ///< by any source of word
+    std::function<void()> m_request_began;
+    std::function<void()> m_request_ended;
+};
+
+/// All owned targets of one node and the listener for them.
+class owner_service {
+public:
+    /// All references must outlive the service.
+    owner_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
+                  owner_options options, owner_hooks hooks);
+
+    bool start(reason& why) { return m_server.start(why); }
+
+    /// Follows a new configuration.
+    void apply(const config::snapshot& config);
+
+    [[nodiscard]] http_server& server() { return m_server; }
+    [[nodiscard]] outcome::quarantine& quarantine() { return m_quarantine; }
+    [[nodiscard]] const std::map<std::string, std::shared_ptr<owned_target>>& targets() const
+    {
+        return m_targets;
+    }
+
+private:
+    friend class owner_exchange;
+
+    void serve(server_exchange& exchange);
+    void issue_ticket(server_exchange& exchange);
+
+    boost::asio::io_context& m_io;
+    timer_service& m_timers;
+    metrics& m_stats;
+    owner_options m_options;
+    owner_hooks m_hooks;
+    body_budget m_body_budget;
+    outcome::quarantine m_quarantine;
+    outcome::ticket_ledger m_ledger;
+    std::map<std::uint64_t, std::shared_ptr<fiber_event>> m_ticket_ends; ///< by running serial
+    std::map<std::string, std::shared_ptr<owned_target>> m_targets;      ///< by name
+    http_server m_server;
+};
+
+} // namespace pomelohead::forwarding
