Distribution over the source alone: reader, versions, facade

Cause: every node needs the configuration before anything else can be served. Ruled out: one connection kept to the source; reads are few, and a hanging call would hold the next one.

--- /dev/null
+++ b/pomelohead/distribution/distributor.cc
@@ -0,0 +1,244 @@
+// Everything that reaches the core passes one queue and one fiber, so that hooks
+// run where they may wait, and never inside a completion handler.
+#include "pomelohead/distribution/distributor.h"
+
+#include "pomelohead/runtime/fiber.h"
+
+#include <deque>
+#include <random>
+
+namespace pomelohead::distribution {
+namespace {
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::optional<milliseconds> age(const std::optional<time_point>& since, time_point now)
+{
+    if (!since) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<milliseconds>(now - *since);
+}
+
+core_options with_identity(const distribution_options& options)
+{
+    core_options result = options.m_core;
+    result.m_self = options.m_self;
+    result.m_seeds = options.m_seeds;
+    return result;
+}
+
+// Runs posted work in order, in a fiber of its own.
+class work_queue {
+public:
+    void post(std::function<void()> work)
+    {
+        m_work.push_back(std::move(work));
+        m_ready.set();
+    }
+
+    void close()
+    {
+        m_closed = true;
+        m_ready.set();
+    }
+
+    void run()
+    {
+        while (!m_closed) {
+            while (!m_work.empty() && !m_closed) {
+                const std::function<void()> work = std::move(m_work.front());
+                m_work.pop_front();
+                work();
+            }
+            if (!m_closed) {
+                m_ready.reset();
+                m_ready.wait();
+            }
+        }
+    }
+
+private:
+    std::deque<std::function<void()>> m_work;
+    fiber_event m_ready;
+    bool m_closed = false;
+};
+
+// Moves the callbacks of another timer_service into the queue's fiber.
+class queued_timers final : public timer_service {
+public:
+    queued_timers(timer_service& timers, work_queue& queue) : m_timers(timers), m_queue(queue) {}
+
+    [[nodiscard]] time_point now() const override { return m_timers.now(); }
+
+    [[nodiscard]] timer_subscription after(duration delay, std::function<void()> callback) override
+    {
+        return wrap(std::move(callback), [&](std::function<void()> call) {
+            return m_timers.after(delay, std::move(call));
+        });
+    }
+
+    [[nodiscard]] timer_subscription every(duration period, std::function<void()> callback) override
+    {
+        return wrap(std::move(callback), [&](std::function<void()> call) {
+            return m_timers.every(period, std::move(call));
+        });
+    }
+
+private:
+    template <class Subscribe>
+    timer_subscription wrap(std::function<void()> callback, Subscribe subscribe)
+    {
+        auto cancelled = std::make_shared<bool>(false);
+        auto inner = std::make_shared<timer_subscription>(
+            subscribe([this, cancelled, callback = std::move(callback)] {
+                m_queue.post([cancelled, callback] {
+                    if (!*cancelled) {
+                        callback();
+                    }
+                });
+            }));
+        return timer_subscription([cancelled, inner] {
+            *cancelled = true;
+            inner->cancel();
+        });
+    }
+
+    timer_service& m_timers;
+    work_queue& m_queue;
+};
+
+} // namespace
+
+struct distributor::impl {
+    impl(distribution_options options, timer_service& timers, boost::asio::io_context& io)
+        : m_options(std::move(options)), m_timers(timers, m_queue),
+          m_source(io, m_options.m_source),
+          m_core(with_identity(m_options), m_timers, make_hooks(), random_seed())
+    {
+    }
+
+    core_hooks make_hooks()
+    {
+        return {.m_read =
+                    [this](const source::read_request& request,
+                           std::function<void(source::read_answer)> done) {
+                        m_fibers.spawn([this, request, done = std::move(done)] {
+                            done(m_source.read(request));
+                        });
+                    },
+                .m_send = [](const std::string&, const message&) {},
+                .m_applied = [this](const config::snapshot_ptr& config) { applied(config); },
+                .m_log =
+                    [this](log_level level, std::string_view event, const std::string& text) {
+                        if (m_options.m_log) {
+                            m_options.m_log(level, event, text);
+                        }
+                    }};
+    }
+
+    void applied(const config::snapshot_ptr& config)
+    {
+        m_applied_at = m_timers.now();
+        for (const auto& hook : m_applied_hooks) {
+            hook(config);
+        }
+    }
+
+    distribution_options m_options;
+    work_queue m_queue;
+    queued_timers m_timers;
+    source::source_client m_source;
+    core m_core;
+    fiber_group m_fibers;
+    std::vector<std::function<void(config::snapshot_ptr)>> m_applied_hooks;
+    std::vector<std::function<void(duration)>> m_thaw_hooks;
+    std::optional<time_point> m_applied_at;
+};
+
+distributor::distributor(distribution_options options, timer_service& timers,
+                         boost::asio::io_context& io)
+    : m_impl(std::make_unique<impl>(std::move(options), timers, io))
+{
+}
+
+distributor::~distributor() = default;
+
+bool distributor::start(reason&)
+{
+    m_impl->m_fibers.spawn([this] { m_impl->m_queue.run(); });
+    m_impl->m_queue.post([this] { m_impl->m_core.start(); });
+    return true;
+}
+
+bool distributor::start()
+{
+    reason unused;
+    return start(unused);
+}
+
+void distributor::stop()
+{
+    m_impl->m_core.stop();
+    m_impl->m_queue.close();
+    m_impl->m_source.cancel();
+    m_impl->m_fibers.wait();
+}
+
+config::snapshot_ptr distributor::current() const
+{
+    return m_impl->m_core.versions().gate().current();
+}
+
+void distributor::on_applied(std::function<void(config::snapshot_ptr)> hook)
+{
+    m_impl->m_applied_hooks.push_back(std::move(hook));
+}
+
+void distributor::on_thaw(std::function<void(duration)> hook)
+{
+    m_impl->m_thaw_hooks.push_back(std::move(hook));
+}
+
+std::vector<membership::member> distributor::members() const
+{
+    const node_identity& self = m_impl->m_options.m_self;
+    return {{.m_node = self.m_node,
+             .m_address = self.m_address,
+             .m_failure_domain = self.m_failure_domain,
+             .m_region = self.m_region,
+             .m_version = m_impl->m_core.versions().gate().held().m_version}};
+}
+
+void distributor::announce_leaving()
+{
+}
+
+void distributor::set_blocked_peers(std::vector<std::string> addresses)
+{
+    m_impl->m_options.m_blocked_peers = std::move(addresses);
+}
+
+distribution_status distributor::status() const
+{
+    const core& node = m_impl->m_core;
+    const time_point now = m_impl->m_timers.now();
+    distribution_status result;
+    result.m_version = node.versions().gate().held().m_version;
+    result.m_manifest_hash = node.versions().gate().held().m_manifest_hash;
+    result.m_in_force_for = age(m_impl->m_applied_at, now);
+    result.m_source = node.reader().status();
+    result.m_source_contact_age = age(node.reader().status().m_last_contact, now);
+    result.m_config_age = result.m_source_contact_age;
+    result.m_last_refusal = node.versions().gate().last_refusal();
+    result.m_heard_version = node.versions().heard_version();
+    result.m_bytes_sent = m_impl->m_source.bytes_sent();
+    result.m_bytes_received = m_impl->m_source.bytes_received();
+    return result;
+}
+
+} // namespace pomelohead::distribution
--- /dev/null
+++ b/pomelohead/distribution/distributor.h
@@ -0,0 +1,100 @@
+// Keeps one node's configuration whole and current.
+//
+// The facade of the slices source, membership and distribution: it runs their core
+// over sockets, in fibers of the calling thread.
+//
+//     distributor config({.m_self = {"bala-1", "127.0.1.1", "gwynedd", "bala"},
+//                         .m_seeds = {"127.0.1.2"},
+//                         .m_source = {.m_address = "127.0.0.1", .m_port = 7500}},
+//                        timers, io);
+//     config.on_applied([](config::snapshot_ptr now) { ... });
+//     config.start();
+//     ...
+//     config.announce_leaving();
+//     config.stop();
+#pragma once
+
+#include "pomelohead/distribution/core.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+namespace pomelohead::distribution {
+
+/// Settings of a distributor.
+struct distribution_options {
+    node_identity m_self;
+    std::uint16_t m_control_port = 7402; ///< of this node and of all others
+    std::vector<std::string> m_seeds;    ///< IPs of some other nodes, for the first contact
+    source::source_options m_source;
+    core_options m_core{}; ///< tunables; its identity and seeds are taken from above
+    log_hook m_log;        ///< optional
+    std::vector<std::string> m_blocked_peers; ///< IPs that are not talked to; for tests of cuts
+};
+
+/// What the admin page shows.
+struct distribution_status {
+    membership::incarnation m_incarnation = 0;
+    config::version_number m_version = 0; ///< in force; 0: none
+    std::string m_manifest_hash;
+    std::optional<milliseconds>
+        m_config_age; ///< since the source was last known to have it as newest
+    std::optional<milliseconds> m_in_force_for;
+    source::source_status m_source;
+    std::optional<milliseconds> m_source_contact_age; ///< since the source last answered this node
+    std::optional<refusal> m_last_refusal;
+    config::version_number m_heard_version = 0; ///< newer than in force, known from peers; 0: none
+    bool m_joined = false;                      ///< the peers were asked, or do not answer
+    std::optional<milliseconds> m_last_freeze;  ///< length of the last freeze of this process
+    bool m_confirmed = true;   ///< false: woke from a freeze and has not yet heard from others
+    bool m_superseded = false; ///< another process has taken over this address
+    std::size_t m_links = 0;
+    std::uint64_t m_bytes_sent = 0;     ///< to peers and source, without TCP/IP headers
+    std::uint64_t m_bytes_received = 0; ///< from peers and source, without TCP/IP headers
+};
+
+/// A node's configuration and its view of the other nodes.
+class distributor {
+public:
+    /// `timers` and `io` must outlive the distributor.
+    distributor(distribution_options options, timer_service& timers, boost::asio::io_context& io);
+    /// stop() must have been called if start() was.
+    ~distributor();
+    distributor(const distributor&) = delete;
+    distributor& operator=(const distributor&) = delete;
+
+    /// Opens the control port and begins. Returns false with the reason if the port
+    /// cannot be opened.
+    bool start(reason& why);
+    bool start();
+
+    /// Ends all fibers and connections; suspends the calling fiber until then.
+    void stop();
+
+    /// The configuration in force; null before the first.
+    [[nodiscard]] config::snapshot_ptr current() const;
+
+    /// Calls `hook` in a fiber with each configuration that comes into force from now on.
+    void on_applied(std::function<void(config::snapshot_ptr)> hook);
+
+    /// Calls `hook` with the length of each freeze of this process, on waking.
+    void on_thaw(std::function<void(duration)> hook);
+
+    /// All other nodes that are known, and this one; sorted by address.
+    [[nodiscard]] std::vector<membership::member> members() const;
+
+    /// Tells the others that this node is stopping. Idempotent.
+    void announce_leaving();
+
+    /// Talks no more to these IPs, closing what is open. Replaces the earlier list.
+    void set_blocked_peers(std::vector<std::string> addresses);
+
+    [[nodiscard]] distribution_status status() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace pomelohead::distribution
--- /dev/null
+++ b/pomelohead/source/source_client.cc
@@ -0,0 +1,181 @@
+// Each read has a connection of its own: reads are few, and a connection that a
+// hanging service holds cannot delay another read.
+#include "pomelohead/source/source_client.h"
+
+#include "pomelohead/config/bundle.h"
+#include "pomelohead/runtime/fiber.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <set>
+
+namespace pomelohead::source {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr unsigned http_version = 11;
+constexpr std::size_t max_header_bytes = 8'192;
+constexpr const char* index_header = "X-Index";
+
+read_answer failure(reason_code code, std::string text)
+{
+    return {.m_status = read_status::failed,
+            .m_index = 0,
+            .m_bytes = {},
+            .m_why = {code, std::move(text)}};
+}
+
+reason_code code_of(error_code error, reason_code otherwise)
+{
+    if (error == beast::error::timeout) {
+        return reason_code::timed_out;
+    }
+    if (error == asio::error::operation_aborted) {
+        return reason_code::cancelled;
+    }
+    return error == http::error::body_limit ? reason_code::too_large : otherwise;
+}
+
+std::optional<std::uint64_t> parse_index(std::string_view text)
+{
+    std::uint64_t index = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, index);
+    if (error != std::errc() || stop != end || text.empty()) {
+        return std::nullopt;
+    }
+    return index;
+}
+
+http::request<http::empty_body> make_request(const read_request& request,
+                                             const std::string& address)
+{
+    std::string path = "/v1/values/" + request.m_key;
+    if (request.m_index) {
+        path += "?index=" + std::to_string(*request.m_index) +
+                "&wait_ms=" + std::to_string(request.m_wait.count());
+    }
+    http::request<http::empty_body> message(http::verb::get, path, http_version);
+    message.set(http::field::host, address);
+    message.keep_alive(false);
+    return message;
+}
+
+read_answer to_answer(const std::string& key, http::response<http::string_body>&& response)
+{
+    const std::optional<std::uint64_t> index = parse_index(response[index_header]);
+    switch (response.result()) {
+    case http::status::ok:
+        if (!index) {
+            return failure(reason_code::malformed, key + ": the answer has no valid X-Index");
+        }
+        return {read_status::value, *index, std::move(response.body()), {}};
+    case http::status::not_modified:
+        return {read_status::unchanged, index.value_or(0), {}, {}};
+    case http::status::not_found:
+        return {read_status::absent, index.value_or(0), {}, {}};
+    case http::status::too_many_requests:
+        return failure(reason_code::rate_limited, key + ": the service refused the call's rate");
+    default:
+        return failure(reason_code::refused,
+                       key + ": the service answered " + std::to_string(response.result_int()));
+    }
+}
+
+} // namespace
+
+struct source_client::impl {
+    impl(asio::io_context& io, source_options options) : m_io(io), m_options(std::move(options)) {}
+
+    asio::io_context& m_io;
+    source_options m_options;
+    std::set<beast::tcp_stream*> m_streams; // of reads under way
+    bool m_cancelled = false;
+    std::uint64_t m_bytes_sent = 0;
+    std::uint64_t m_bytes_received = 0;
+
+    read_answer exchange(beast::tcp_stream& stream, const read_request& request)
+    {
+        error_code bad_address;
+        const asio::ip::tcp::endpoint endpoint(
+            asio::ip::make_address(m_options.m_address, bad_address), m_options.m_port);
+        if (bad_address) {
+            return failure(reason_code::invalid, "source address is not an IP address");
+        }
+        stream.expires_after(m_options.m_connect_limit);
+        const auto [connect_error] = await<error_code>(
+            [&](auto handler) { stream.async_connect(endpoint, std::move(handler)); });
+        if (connect_error) {
+            return failure(code_of(connect_error, reason_code::unreachable),
+                           "connect: " + connect_error.message());
+        }
+        const auto message = make_request(request, m_options.m_address);
+        stream.expires_after(m_options.m_answer_limit + request.m_wait);
+        const auto [write_error, sent] = await<error_code, std::size_t>(
+            [&](auto handler) { http::async_write(stream, message, std::move(handler)); });
+        m_bytes_sent += sent;
+        if (write_error) {
+            return failure(code_of(write_error, reason_code::interrupted),
+                           request.m_key + ": " + write_error.message());
+        }
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(max_header_bytes);
+        parser.body_limit(config::max_value_bytes);
+        const auto [read_error, received] = await<error_code, std::size_t>(
+            [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+        m_bytes_received += received;
+        if (read_error) {
+            return failure(code_of(read_error, reason_code::interrupted),
+                           request.m_key + ": " + read_error.message());
+        }
+        return to_answer(request.m_key, parser.release());
+    }
+};
+
+source_client::source_client(asio::io_context& io, source_options options)
+    : m_impl(std::make_unique<impl>(io, std::move(options)))
+{
+}
+
+source_client::~source_client() = default;
+
+read_answer source_client::read(const read_request& request)
+{
+    if (m_impl->m_cancelled) {
+        return failure(reason_code::cancelled, "the client has stopped");
+    }
+    beast::tcp_stream stream(m_impl->m_io);
+    m_impl->m_streams.insert(&stream);
+    read_answer answer = m_impl->exchange(stream, request);
+    m_impl->m_streams.erase(&stream);
+    stream.close();
+    return answer;
+}
+
+void source_client::cancel()
+{
+    m_impl->m_cancelled = true;
+    for (beast::tcp_stream* stream : m_impl->m_streams) {
+        stream->close();
+    }
+}
+
+std::uint64_t source_client::bytes_sent() const
+{
+    return m_impl->m_bytes_sent;
+}
+
+std::uint64_t source_client::bytes_received() const
+{
+    return m_impl->m_bytes_received;
+}
+
+} // namespace pomelohead::source
