--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -242,7 +242,8 @@
     error_code ignored;
     m_acceptor.close(ignored);
     for (connection& c : m_open) {
-        if (c.m_idle) {
+        // A request whose first bytes are here is still served.
+        if (c.m_idle && c.m_buffer.size() == 0) {
             c.m_stream.cancel();
         }
     }
