The node: distribution, entry, owner and operators' pages as one process

Cause: the parts have to run as one process with settings, signals and a graceful stop.

Ruled out: one listener for callers, owners and operators (a caller could use the protocol between nodes, and a stop closes the listeners at different times).

Change: slice node, `pomelohead node`, admin pages, policy knobs for every switch.

--- a/pomelohead/cli/main.cc
+++ b/pomelohead/cli/main.cc
@@ -1,4 +1,5 @@
 #include "pomelohead/cli/console.h"
+#include "pomelohead/cli/node_command.h"
 #include "pomelohead/cli/sheet_command.h"
 
 #include <CLI/CLI.hpp>
@@ -9,6 +10,7 @@
     app.set_version_flag("--version", std::string("pomelohead ") + POMELOHEAD_VERSION);
     app.require_subcommand(1);
     int exit_code = pomelohead::cli::exit_good;
+    pomelohead::cli::add_node_command(app, exit_code);
     pomelohead::cli::add_sheet_command(app, exit_code);
     try {
         app.parse(argc, argv);
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -41,7 +41,7 @@
 void entry_attempt::run()
 {
     reason why;
-    m_connection = m_service.pool(m_address).take(m_request.m_deadline, why);
+    m_connection = m_service.connect_owner(m_address, m_request.m_deadline, why);
     if (m_abandoned) {
         return end(routing::attempt_result::cancelled);
     }
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -75,6 +75,24 @@
     return target;
 }
 
+void entry_service::set_blocked_owners(std::set<std::string> addresses)
+{
+    m_blocked = std::move(addresses);
+    for (const std::string& address : m_blocked) {
+        pool(address).clear();
+    }
+}
+
+std::unique_ptr<client_connection> entry_service::connect_owner(const std::string& address,
+                                                                time_point deadline, reason& why)
+{
+    if (m_blocked.contains(address)) {
+        why = {reason_code::unreachable, "connections to " + address + " are blocked"};
+        return nullptr;
+    }
+    return pool(address).take(deadline, why);
+}
+
 connection_pool& entry_service::pool(const std::string& address)
 {
     const auto it = m_pools.find(address);
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -18,6 +18,7 @@
 #include "pomelohead/telemetry/metrics.h"
 
 #include <random>
+#include <set>
 
 namespace pomelohead::forwarding {
 
@@ -55,6 +56,9 @@
     /// Follows a new configuration.
     void apply(const config::snapshot& config);
 
+    /// Opens no more connections to owners at these addresses; for tests of cuts.
+    void set_blocked_owners(std::set<std::string> addresses);
+
     [[nodiscard]] http_server& server() { return m_server; }
     [[nodiscard]] routing::owner_selector& selector() { return m_selector; }
     [[nodiscard]] const routing::reachable_fn& reachable() const { return m_reachable; }
@@ -71,6 +75,8 @@
                                          const config::service& service,
                                          const routing::call_facts& call,
                                          const std::vector<std::string>& tried, reason& why);
+    std::unique_ptr<client_connection> connect_owner(const std::string& address,
+                                                     time_point deadline, reason& why);
     connection_pool& pool(const std::string& address);
     std::string make_request_id();
 
@@ -88,6 +94,7 @@
     routing::retry_budget m_resends;
     routing::hedge_policy m_hedges;
     routing::reachable_fn m_reachable;
+    std::set<std::string> m_blocked;
     std::map<std::string, connection_pool> m_pools; ///< by the owner's address
     http_server m_server;
 };
--- /dev/null
+++ b/pomelohead/node/node.cc
@@ -0,0 +1,149 @@
+#include "pomelohead/node/node.h"
+
+#include "pomelohead/node/admin_pages.h"
+#include "pomelohead/telemetry/log.h"
+
+namespace pomelohead::node {
+namespace {
+
+constexpr duration member_refresh_period = std::chrono::milliseconds(200);
+
+// Orders the starts of one host's node. Hosts keep nothing, so the wall clock is
+// all that outlives a process; safety does not rest on it (outcome/ticket.h).
+std::uint64_t make_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+double seconds_or(const std::optional<milliseconds>& d, double otherwise)
+{
+    return d ? std::chrono::duration<double>(*d).count() : otherwise;
+}
+
+} // namespace
+
+node::node(settings::node_settings settings, boost::asio::io_context& io)
+    : m_settings(std::move(settings)), m_timers(io), m_incarnation(make_incarnation()),
+      m_started(m_timers.now()), m_distributor(distribution_options_of(m_settings), m_timers, io),
+      m_members([this] { return m_distributor.members(); }),
+      m_shutdown(m_timers, shutdown_options_of(m_settings),
+                 [this](lifecycle::shutdown_phase phase) { on_phase(phase); }),
+      m_owner(io, m_timers, m_stats, owner_options_of(m_settings, m_incarnation),
+              {.m_config = [this] { return m_distributor.current(); },
+               .m_is_draining = [this](const std::string& target) { return is_draining(target); },
+               .m_request_began = [this] { m_shutdown.request_began(); },
+               .m_request_ended = [this] { m_shutdown.request_ended(); }}),
+      m_entry(
+          io, m_timers, m_stats, entry_options_of(m_settings, m_incarnation),
+          {.m_config = [this] { return m_distributor.current(); },
+           .m_is_alive = [this](const std::string& address) { return m_members.is_alive(address); },
+           .m_is_host = [this](const std::string& address) { return m_members.is_known(address); },
+           .m_request_began = [this] { m_shutdown.request_began(); },
+           .m_request_ended = [this] { m_shutdown.request_ended(); }}),
+      m_admin(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_admin_port}, {},
+              [this](forwarding::server_exchange& e) { serve_admin(*this, e); })
+{
+    add_gauges();
+}
+
+node::~node() = default;
+
+void node::add_gauges()
+{
+    m_stats.gauge("config_version",
+                  [this] { return static_cast<double>(m_distributor.status().m_version); });
+    m_stats.gauge("config_age_seconds",
+                  [this] { return seconds_or(m_distributor.status().m_config_age, -1); });
+    m_stats.gauge("source_up",
+                  [this] { return m_distributor.status().m_source.m_state == "up" ? 1.0 : 0.0; });
+    m_stats.gauge("control_bytes_sent",
+                  [this] { return static_cast<double>(m_distributor.status().m_bytes_sent); });
+    m_stats.gauge("control_bytes_received",
+                  [this] { return static_cast<double>(m_distributor.status().m_bytes_received); });
+    m_stats.gauge("in_flight",
+                  [this] { return static_cast<double>(m_shutdown.state().m_in_flight); });
+}
+
+bool node::start(reason& why)
+{
+    m_distributor.on_applied([this](config::snapshot_ptr now) { on_configuration(now); });
+    if (!m_admin.start(why) || !m_owner.start(why) || !m_distributor.start(why) ||
+        !m_entry.start(why)) {
+        return false;
+    }
+    m_refresh = m_timers.every(member_refresh_period, [this] { m_members.refresh(); });
+    log_event(log_level::info, "started",
+              {{"address", m_settings.m_listen.m_address}, {"incarnation", m_incarnation}});
+    return true;
+}
+
+void node::on_configuration(const config::snapshot_ptr& config)
+{
+    m_owner.apply(*config);
+    m_entry.apply(*config);
+    m_members.refresh();
+    m_stats.add("versions_applied_total");
+}
+
+lifecycle::drain_view node::drain_view_of(const std::string& target) const
+{
+    const config::snapshot_ptr config = m_distributor.current();
+    lifecycle::drain_view view;
+    view.m_in_configuration = config && config->is_draining(target);
+    view.m_in_host_list = m_members.is_leaving(m_settings.m_listen.m_address);
+    if (m_drained_by_operator || !lifecycle::accepts_work(m_shutdown.phase())) {
+        view.m_owner_left = m_incarnation;
+    }
+    return view;
+}
+
+bool node::is_draining(const std::string& target) const
+{
+    return lifecycle::is_draining(drain_view_of(target), m_incarnation);
+}
+
+std::string node::drain_sources(const std::string& target) const
+{
+    return lifecycle::describe(drain_view_of(target), m_incarnation);
+}
+
+void node::on_phase(lifecycle::shutdown_phase phase)
+{
+    log_event(log_level::info, "stopping", {{"phase", lifecycle::to_string(phase)}});
+    switch (phase) {
+    case lifecycle::shutdown_phase::serving:
+        return;
+    case lifecycle::shutdown_phase::announcing:
+        m_distributor.announce_leaving();
+        m_entry.server().announce_close();
+        return;
+    case lifecycle::shutdown_phase::finishing:
+        m_entry.server().close_listener();
+        m_owner.server().close_listener();
+        return;
+    case lifecycle::shutdown_phase::stopped:
+        if (m_shutdown.state().m_cut) {
+            m_entry.server().abort();
+            m_owner.server().abort();
+        }
+        m_stopped.set();
+        return;
+    }
+}
+
+void node::wait()
+{
+    m_stopped.wait();
+    m_entry.server().wait();
+    m_owner.server().wait();
+    m_refresh.cancel();
+    m_distributor.stop();
+    m_admin.close_listener();
+    m_admin.abort();
+    m_admin.wait();
+    log_event(log_level::info, "stopped");
+}
+
+} // namespace pomelohead::node
--- /dev/null
+++ b/pomelohead/node/node.h
@@ -0,0 +1,82 @@
+// A node: the one process of the system on each target host.
+//
+// It joins the slices: distribution gives the configuration and the view of other
+// nodes; the entry takes callers' requests; the owner hands them to the target
+// beside it; the admin page shows all of it to operators.
+//
+//     boost::asio::io_context io;
+//     install_fiber_scheduler(io);
+//     node n(settings, io);
+//     reason why;
+//     if (!n.start(why)) ...
+//     n.wait();   // until a graceful stop is over
+#pragma once
+
+#include "pomelohead/lifecycle/drain.h"
+#include "pomelohead/node/member_view.h"
+#include "pomelohead/node/node_options.h"
+#include "pomelohead/runtime/asio_timer_service.h"
+
+namespace pomelohead::node {
+
+/// All parts of one running node.
+class node {
+public:
+    /// `io` must outlive the node.
+    node(settings::node_settings settings, boost::asio::io_context& io);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    ~node();
+
+    /// Opens all ports and begins. Fails where a port cannot be opened.
+    bool start(reason& why);
+
+    /// Begins a graceful stop. Idempotent.
+    void stop() { m_shutdown.begin(); }
+
+    /// Gives the target beside this node no new work until resume(), or until the
+    /// process ends. Requests that run go on.
+    void drain() { m_drained_by_operator = true; }
+    void resume() { m_drained_by_operator = false; }
+
+    /// Suspends the calling fiber until the stop is over and all fibers have ended.
+    void wait();
+
+    /// Whether the target gets no new work, by any source of word.
+    [[nodiscard]] bool is_draining(const std::string& target) const;
+    /// Which sources say so; empty where none does.
+    [[nodiscard]] std::string drain_sources(const std::string& target) const;
+
+    [[nodiscard]] const settings::node_settings& settings() const { return m_settings; }
+    [[nodiscard]] distribution::distributor& distributor() { return m_distributor; }
+    [[nodiscard]] forwarding::entry_service& entry() { return m_entry; }
+    [[nodiscard]] forwarding::owner_service& owner() { return m_owner; }
+    [[nodiscard]] member_view& members() { return m_members; }
+    [[nodiscard]] metrics& stats() { return m_stats; }
+    [[nodiscard]] const lifecycle::graceful_shutdown& shutdown() const { return m_shutdown; }
+    [[nodiscard]] timer_service& timers() { return m_timers; }
+    [[nodiscard]] duration uptime() const { return m_timers.now() - m_started; }
+
+private:
+    void on_phase(lifecycle::shutdown_phase phase);
+    void on_configuration(const config::snapshot_ptr& config);
+    void add_gauges();
+    [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
+
+    settings::node_settings m_settings;
+    asio_timer_service m_timers;
+    metrics m_stats;
+    std::uint64_t m_incarnation;
+    time_point m_started;
+    bool m_drained_by_operator = false;
+    distribution::distributor m_distributor;
+    member_view m_members;
+    lifecycle::graceful_shutdown m_shutdown;
+    forwarding::owner_service m_owner;
+    forwarding::entry_service m_entry;
+    forwarding::http_server m_admin;
+    fiber_event m_stopped;
+    timer_subscription m_refresh;
+};
+
+} // namespace pomelohead::node
--- /dev/null
+++ b/pomelohead/node/node_options.cc
@@ -0,0 +1,134 @@
+#include "pomelohead/node/node_options.h"
+
+#include "pomelohead/settings/policy_knobs.h"
+#include "pomelohead/telemetry/log.h"
+
+#include <cmath>
+
+namespace pomelohead::node {
+namespace {
+
+constexpr std::size_t kib = 1024;
+constexpr std::size_t mib = 1024 * kib;
+
+// Reads knobs as the types that the options have.
+class knob_reader {
+public:
+    explicit knob_reader(const settings::node_settings& settings) : m_values(settings.m_policy) {}
+
+    [[nodiscard]] double number(std::string_view name) const
+    {
+        return settings::knob_value(m_values, name);
+    }
+    [[nodiscard]] bool on(std::string_view name) const { return number(name) != 0; }
+    template <class Integer>
+    [[nodiscard]] Integer whole(std::string_view name) const
+    {
+        return static_cast<Integer>(std::llround(number(name)));
+    }
+    [[nodiscard]] duration seconds(std::string_view name) const
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(number(name)));
+    }
+
+private:
+    const std::map<std::string, double>& m_values;
+};
+
+admission::admission_options admission_options_of(const knob_reader& knobs)
+{
+    admission::admission_options options;
+    options.m_short_reserve = knobs.on("short_reserve");
+    options.m_urgency_order = knobs.on("urgency_order");
+    options.m_depth_order = knobs.on("depth_order");
+    options.m_fair_share = knobs.on("fair_share");
+    options.m_deadline_admission = knobs.on("deadline_admission");
+    options.m_bounded_wait = knobs.on("bounded_wait");
+    options.m_slow_start = knobs.on("owner_slow_start");
+    options.m_queue_per_slot = knobs.whole<std::uint32_t>("queue_per_slot");
+    options.m_max_wait = milliseconds(knobs.whole<std::int64_t>("max_wait_ms"));
+    return options;
+}
+
+routing::routing_options routing_options_of(const knob_reader& knobs)
+{
+    routing::routing_options options;
+    options.m_power_of_two = knobs.on("power_of_two");
+    options.m_owner_word = knobs.on("owner_word");
+    options.m_slow_detection = knobs.on("slow_detection");
+    options.m_slow_start = knobs.on("slow_start");
+    options.m_local_preference = knobs.on("local_preference");
+    options.m_retry_budget = knobs.on("retry_budget");
+    options.m_hedging = knobs.on("hedging");
+    options.m_retry_share = knobs.number("retry_share");
+    options.m_resend_share = knobs.number("resend_share");
+    options.m_hedge_share = knobs.number("hedge_share");
+    return options;
+}
+
+void log_distribution(distribution::log_level level, std::string_view event,
+                      const std::string& text)
+{
+    log_event(static_cast<log_level>(level), event, {{"text", text}});
+}
+
+} // namespace
+
+distribution::distribution_options distribution_options_of(const settings::node_settings& settings)
+{
+    distribution::distribution_options options;
+    options.m_self = {settings.m_node, settings.m_listen.m_address, settings.m_region,
+                      settings.m_failure_domain};
+    options.m_control_port = settings.m_listen.m_control_port;
+    options.m_seeds = settings.m_peers;
+    options.m_source.m_address = settings.m_source.m_address;
+    options.m_source.m_port = settings.m_source.m_port;
+    options.m_log = log_distribution;
+    return options;
+}
+
+forwarding::entry_options entry_options_of(const settings::node_settings& settings,
+                                           std::uint64_t incarnation)
+{
+    const knob_reader knobs(settings);
+    forwarding::entry_options options;
+    options.m_listen = {settings.m_listen.m_address, settings.m_listen.m_caller_port};
+    options.m_owner_port = settings.m_listen.m_owner_port;
+    options.m_failure_domain = settings.m_failure_domain;
+    options.m_region = settings.m_region;
+    options.m_seed = incarnation ^ std::hash<std::string>{}(settings.m_listen.m_address);
+    options.m_attempts = knobs.whole<std::size_t>("attempts");
+    options.m_kept_bytes_per_request = knobs.whole<std::size_t>("upload_buffer_kib") * kib;
+    options.m_kept_bytes = knobs.whole<std::size_t>("upload_buffers_mib") * mib;
+    options.m_routing = routing_options_of(knobs);
+    return options;
+}
+
+forwarding::owner_options owner_options_of(const settings::node_settings& settings,
+                                           std::uint64_t incarnation)
+{
+    const knob_reader knobs(settings);
+    forwarding::owner_options options;
+    options.m_listen = {settings.m_listen.m_address, settings.m_listen.m_owner_port};
+    options.m_incarnation = incarnation;
+    options.m_kept_bytes_per_request = knobs.whole<std::size_t>("upload_buffer_kib") * kib;
+    options.m_kept_bytes = knobs.whole<std::size_t>("upload_buffers_mib") * mib;
+    options.m_admission = admission_options_of(knobs);
+    options.m_quarantine.m_lifetime = knobs.seconds("quarantine_s");
+    options.m_tickets.m_lifetime = knobs.seconds("ticket_s");
+    options.m_tickets.m_answer_lifetime = knobs.seconds("ticket_s");
+    return options;
+}
+
+lifecycle::shutdown_options shutdown_options_of(const settings::node_settings& settings)
+{
+    const knob_reader knobs(settings);
+    lifecycle::shutdown_options options;
+    options.m_lame_duck = knobs.seconds("lame_duck_s");
+    if (knobs.number("stop_limit_s") > 0) {
+        options.m_bound = knobs.seconds("stop_limit_s");
+    }
+    return options;
+}
+
+} // namespace pomelohead::node
--- /dev/null
+++ b/pomelohead/node/node_options.h
@@ -0,0 +1,27 @@
+// The options of a node's parts, as its settings say.
+//
+//     const forwarding::entry_options entry = entry_options_of(settings, incarnation);
+#pragma once
+
+#include "pomelohead/distribution/distributor.h"
+#include "pomelohead/forwarding/entry_service.h"
+#include "pomelohead/forwarding/owner_service.h"
+#include "pomelohead/lifecycle/shutdown.h"
+#include "pomelohead/settings/node_settings.h"
+
+namespace pomelohead::node {
+
+[[nodiscard]] distribution::distribution_options
+distribution_options_of(const settings::node_settings& settings);
+
+/// `incarnation` seeds the entry's random choices, so that nodes differ.
+[[nodiscard]] forwarding::entry_options entry_options_of(const settings::node_settings& settings,
+                                                         std::uint64_t incarnation);
+
+[[nodiscard]] forwarding::owner_options owner_options_of(const settings::node_settings& settings,
+                                                         std::uint64_t incarnation);
+
+[[nodiscard]] lifecycle::shutdown_options
+shutdown_options_of(const settings::node_settings& settings);
+
+} // namespace pomelohead::node
--- a/pomelohead/settings/policy_knobs.cc
+++ b/pomelohead/settings/policy_knobs.cc
@@ -1,31 +1,81 @@
 #include "pomelohead/settings/policy_knobs.h"
 
+#include "pomelohead/admission/options.h"
+#include "pomelohead/routing/options.h"
+
 #include <algorithm>
-#include <array>
+#include <vector>
 
 namespace pomelohead::settings {
 namespace {
 
-constexpr std::array knobs = {
-    policy_knob{"lame_duck_s", 3, 0, 60,
-                "how long a stopping node still accepts connections, in seconds"},
-    policy_knob{"stop_limit_s", 0, 0, 86400,
-                "how long a stopping node waits for requests in flight, in seconds; 0: no limit"},
-    policy_knob{"upload_buffer_kib", 1024, 64, 65536,
-                "bytes of a request body held before it takes a slot, in KiB"},
-};
+policy_knob on_off(std::string_view name, bool on, std::string_view text)
+{
+    return {name, on ? 1.0 : 0.0, 0, 1, text};
+}
+
+std::vector<policy_knob> make_knobs()
+{
+    const admission::admission_options a;
+    const routing::routing_options r;
+    std::vector<policy_knob> knobs = {
+        {"lame_duck_s", 3, 0, 60, "how long a stopping node still accepts connections, in seconds"},
+        {"stop_limit_s", 0, 0, 86400,
+         "how long a stopping node waits for requests in flight, in seconds; 0: no limit"},
+        {"upload_buffer_kib", 1024, 64, 65536,
+         "bytes of a request's body held before it takes a slot, in KiB"},
+        {"upload_buffers_mib", 32, 1, 4096,
+         "bytes of all requests' bodies held before they take slots, in MiB"},
+        {"attempts", 3, 1, 10, "the most owners that one request is sent to"},
+        {"quarantine_s", 600, 1, 86400, "how long a crash counts against a request, in seconds"},
+        {"ticket_s", 600, 1, 86400, "how long a ticket holds, in seconds"},
+
+        on_off("short_reserve", a.m_short_reserve, "long work leaves slots to short work"),
+        on_off("urgency_order", a.m_urgency_order, "urgent work leaves the queue first"),
+        on_off("depth_order", a.m_depth_order, "deep calls leave the queue first"),
+        on_off("fair_share", a.m_fair_share, "accounts with little recent use go first"),
+        on_off("deadline_admission", a.m_deadline_admission,
+               "what cannot finish in the time left is refused"),
+        on_off("bounded_wait", a.m_bounded_wait, "short work does not queue past max_wait_ms"),
+        on_off("owner_slow_start", a.m_slow_start, "a new owner begins with few slots"),
+        {"queue_per_slot", static_cast<double>(a.m_queue_per_slot), 0, 1000,
+         "queued short requests per slot"},
+        {"max_wait_ms", static_cast<double>(a.m_max_wait.count()), 1, 60000,
+         "the longest that a short request waits for a slot, in ms"},
+
+        on_off("power_of_two", r.m_power_of_two, "owners are compared by load"),
+        on_off("owner_word", r.m_owner_word, "owners' words count in the choice"),
+        on_off("slow_detection", r.m_slow_detection, "slow targets get less"),
+        on_off("slow_start", r.m_slow_start, "a returning target gets little at first"),
+        on_off("local_preference", r.m_local_preference, "the own failure domain goes first"),
+        on_off("retry_budget", r.m_retry_budget, "retries are a share of successes"),
+        on_off("hedging", r.m_hedging, "slow idempotent short reads get a second attempt"),
+        {"retry_share", r.m_retry_share, 0, 1, "retries per success"},
+        {"resend_share", r.m_resend_share, 0, 1,
+         "resends of requests refused as not run, per success"},
+        {"hedge_share", r.m_hedge_share, 0, 1, "hedges per success"},
+    };
+    std::ranges::sort(knobs, {}, &policy_knob::m_name);
+    return knobs;
+}
+
+const std::vector<policy_knob>& knobs()
+{
+    static const std::vector<policy_knob> table = make_knobs();
+    return table;
+}
 
 } // namespace
 
 std::span<const policy_knob> policy_knobs()
 {
-    return knobs;
+    return knobs();
 }
 
 const policy_knob* find_policy_knob(std::string_view name)
 {
-    const auto it = std::ranges::find(knobs, name, &policy_knob::m_name);
-    return it == knobs.end() ? nullptr : &*it;
+    const auto it = std::ranges::find(knobs(), name, &policy_knob::m_name);
+    return it == knobs().end() ? nullptr : &*it;
 }
 
 double knob_value(const std::map<std::string, double>& values, std::string_view name)
