--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -365,7 +365,8 @@
 void entry_exchange::refuse(cause why, std::string_view detail)
 {
     m_detail = detail;
-    answer({outcome::outcome::not_run, why});
+    const bool has_ticket = m_exchange.request().head().count(ticket_header) > 0;
+    answer(outcome::conclude(outcome::make_entry_state({.m_has_ticket = has_ticket}), why));
 }
 
 void entry_exchange::answer(const outcome::conclusion& end)
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/forwarding/owner_exchange.h"
 
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/outcome/entry_machine.h"
 #include "pomelohead/outcome/fingerprint.h"
 #include "pomelohead/telemetry/log.h"
 
@@ -149,9 +150,11 @@
 
 bool owner_exchange::judge_ticket()
 {
-    const std::string digest =
-        outcome::make_fingerprint(content_of(m_exchange.request().head(), m_body.bytes()));
-    m_fingerprint = digest;
+    outcome::request_content content = content_of(m_exchange.request().head(), m_body.bytes());
+    m_fingerprint = outcome::make_fingerprint(content);
+    // A resend may differ in headers that a quarantine would tell apart.
+    content.m_headers.clear();
+    const std::string digest = outcome::make_fingerprint(content);
     while (m_ticket) {
         const outcome::ticket_decision decision =
             m_service.m_ledger.present(*m_ticket, digest, m_service.m_timers.now());
@@ -524,7 +527,9 @@
 void owner_exchange::refuse(cause why, milliseconds retry_hint)
 {
     m_retry_hint = retry_hint;
-    answer({outcome::outcome::not_run, why});
+    // Another send with the ticket may have run, and the ledger has not been asked.
+    const bool has_ticket = m_exchange.request().head().count(ticket_header) > 0;
+    answer(outcome::conclude(outcome::make_entry_state({.m_has_ticket = has_ticket}), why));
 }
 
 void owner_exchange::add_own_fields(http::header<false>& head) const
--- a/pomelohead/outcome/outcome.cc
+++ b/pomelohead/outcome/outcome.cc
@@ -57,10 +57,7 @@
     switch (value) {
     case cause::malformed_request:
     case cause::malformed_ticket:
-    case cause::foreign_ticket:
         return status_bad_request;
-    case cause::ticket_reused:
-        return status_conflict;
     case cause::no_route:
         return status_not_found;
     case cause::body_too_large:
@@ -72,6 +69,14 @@
     }
 }
 
+std::uint16_t doubt_status(cause value)
+{
+    if (value == cause::deadline) {
+        return status_gateway_timeout;
+    }
+    return value == cause::ticket_reused ? status_conflict : status_bad_gateway;
+}
+
 } // namespace
 
 std::string_view to_string(outcome value)
@@ -120,7 +125,7 @@
     case outcome::not_run:
         return refusal_status(end.m_cause);
     case outcome::unknown:
-        return end.m_cause == cause::deadline ? status_gateway_timeout : status_bad_gateway;
+        return doubt_status(end.m_cause);
     }
     return status_bad_gateway;
 }
--- a/pomelohead/outcome/outcome.h
+++ b/pomelohead/outcome/outcome.h
@@ -79,8 +79,9 @@
 [[nodiscard]] std::optional<cause> parse_cause(std::string_view text);
 
 /// The HTTP status for a caller. A complete answer keeps the target's own; 200
-/// stands for it here. Not run: 400, 404, 409, 413 or 431 where no node would run the
-/// request, else 503. Unknown: 504 for a passed deadline, else 502.
+/// stands for it here. Not run: 400, 404, 413 or 431 where no node would run the
+/// request, else 503. Unknown: 504 for a passed deadline, 409 for a ticket used with
+/// other content, else 502.
 [[nodiscard]] std::uint16_t http_status(const conclusion& end);
 
 /// Whether sending the same request again at a later time can help, without risk.
--- a/pomelohead/outcome/ticket.cc
+++ b/pomelohead/outcome/ticket.cc
@@ -166,7 +166,7 @@
     }
     record& open = it->second;
     if (open.m_check != value.m_check || open.m_target != value.m_target) {
-        return {ticket_verdict::refuse, {outcome::not_run, cause::foreign_ticket}, nullptr};
+        return {ticket_verdict::refuse, {outcome::unknown, cause::foreign_ticket}, nullptr};
     }
     if (open.m_phase == phase::unused && now >= open.m_expires) {
         return {ticket_verdict::refuse, {outcome::not_run, cause::ticket_expired}, nullptr};
@@ -184,7 +184,7 @@
         return {ticket_verdict::run, {}, nullptr};
     }
     if (open.m_digest != digest) {
-        return {ticket_verdict::refuse, {outcome::not_run, cause::ticket_reused}, nullptr};
+        return {ticket_verdict::refuse, {outcome::unknown, cause::ticket_reused}, nullptr};
     }
     if (open.m_phase == phase::running) {
         return {ticket_verdict::attach, {}, nullptr};
@@ -201,7 +201,7 @@
 conclusion ticket_ledger::judge_forgotten(const ticket& value) const
 {
     if (value.m_serial == 0 || value.m_serial > m_last_serial) {
-        return {outcome::not_run, cause::foreign_ticket};
+        return {outcome::unknown, cause::foreign_ticket};
     }
     const std::uint64_t oldest = m_last_serial - m_started.size() + 1;
     if (value.m_serial >= oldest && !m_started[value.m_serial - oldest]) {
--- a/pomelohead/outcome/ticket.h
+++ b/pomelohead/outcome/ticket.h
@@ -116,7 +116,9 @@
     [[nodiscard]] std::optional<ticket> issue(std::string target, time_point now, reason& why);
 
     /// Decides on a request that carries `value`. `digest` stands for its
-    /// content: a ticket serves one content only.
+    /// content: a ticket serves one content only. Another digest is "unknown",
+    /// not "not run", since the caller asks after the ticket's request. So is a
+    /// ticket of this incarnation that was not issued here.
     [[nodiscard]] ticket_decision present(const ticket& value, std::string_view digest,
                                           time_point now);
 
