--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -46,8 +46,7 @@
 int run_node(settings::node_settings settings)
 {
     init_logging(level_of(settings.m_log_level), settings.m_node);
-    boost::asio::io_context io;
-    install_fiber_scheduler(io);
+    boost::asio::io_context& io = install_fiber_scheduler();
     node::node n(std::move(settings), io);
     reason why;
     if (!n.start(why)) {
--- a/pomelohead/config/snapshot.cc
+++ b/pomelohead/config/snapshot.cc
@@ -81,6 +81,13 @@
     return nullptr;
 }
 
+bool snapshot::has_host(std::string_view address) const
+{
+    return std::ranges::any_of(m_services, [&](const service& item) {
+        return std::ranges::find(item.m_targets, address, &target::m_host) != item.m_targets.end();
+    });
+}
+
 bool snapshot::is_draining(std::string_view target_name) const
 {
     return std::ranges::find(m_drains, target_name, &drain_rule::m_target) != m_drains.end();
--- a/pomelohead/config/snapshot.h
+++ b/pomelohead/config/snapshot.h
@@ -104,6 +104,8 @@
     [[nodiscard]] const route* find_route_by_name(std::string_view name) const;
     [[nodiscard]] const service* find_service(std::string_view name) const;
     [[nodiscard]] const target* find_target(std::string_view name) const;
+    /// Whether any target stands on the host of this IP address.
+    [[nodiscard]] bool has_host(std::string_view address) const;
     [[nodiscard]] bool is_draining(std::string_view target_name) const;
 };
 
--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -42,6 +42,7 @@
                    error.message()};
         return nullptr;
     }
+    c->m_stream.expires_never();
     error_code ignored;
     c->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     return c;
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -5,6 +5,7 @@
 
 #include "pomelohead/runtime/fiber.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -42,14 +43,38 @@
     return {reason_code::interrupted, "connection lost: " + error.message()};
 }
 
-void set_deadline(boost::beast::tcp_stream& stream, time_point deadline)
+// Like await() for one operation of `stream`, which fails with a time-out at
+// `deadline`. Beast's own time limit would close the socket, and with it the way
+// to tell the other side why.
+template <class Start>
+std::pair<error_code, std::size_t> await_until(boost::beast::tcp_stream& stream,
+                                               time_point deadline, Start&& start)
 {
-    if (deadline == time_point::max()) {
-        stream.expires_never();
+    struct limit {
+        explicit limit(const boost::beast::tcp_stream::executor_type& executor) : m_timer(executor)
+        {
+        }
+        boost::asio::steady_timer m_timer;
+        bool m_done = false;
+        bool m_expired = false;
+    };
+    const auto state = std::make_shared<limit>(stream.get_executor());
+    if (deadline != time_point::max()) {
+        state->m_timer.expires_at(deadline);
+        state->m_timer.async_wait([state, &stream](error_code error) {
+            if (!error && !state->m_done) {
+                state->m_expired = true;
+                stream.cancel();
+            }
+        });
     }
-    else {
-        stream.expires_at(deadline);
+    auto [error, size] = await<error_code, std::size_t>(std::forward<Start>(start));
+    state->m_done = true;
+    state->m_timer.cancel();
+    if (error && state->m_expired) {
+        error = boost::beast::error::timeout;
     }
+    return {error, size};
 }
 
 std::size_t find_head_end(std::string_view bytes)
@@ -107,10 +132,10 @@
 bool message_reader<IsRequest>::fill_head(const head_limits& limits, std::size_t& head_bytes,
                                           reason& why)
 {
-    set_deadline(m_stream, limits.m_first_byte);
     bool begun = m_buffer.size() > 0;
+    time_point deadline = limits.m_first_byte;
     if (begun) {
-        set_deadline(m_stream, std::min(limits.m_first_byte, clock_type::now() + limits.m_rest));
+        deadline = std::min(deadline, clock_type::now() + limits.m_rest);
     }
     while (true) {
         const auto data = m_buffer.cdata();
@@ -125,8 +150,9 @@
             return true;
         }
         const auto space = m_buffer.prepare(read_chunk_bytes);
-        const auto [error, size] = await<error_code, std::size_t>(
-            [&](auto handler) { m_stream.async_read_some(space, std::move(handler)); });
+        const auto [error, size] = await_until(m_stream, deadline, [&](auto handler) {
+            m_stream.async_read_some(space, std::move(handler));
+        });
         if (error) {
             why = from_error(error);
             if (!begun && why.m_code == reason_code::interrupted) {
@@ -137,8 +163,7 @@
         m_buffer.commit(size);
         if (!begun) {
             begun = true;
-            set_deadline(m_stream,
-                         std::min(limits.m_first_byte, clock_type::now() + limits.m_rest));
+            deadline = std::min(limits.m_first_byte, clock_type::now() + limits.m_rest);
         }
     }
 }
@@ -239,8 +264,7 @@
     body.data = piece.data();
     body.size = piece.size();
     body.more = true;
-    set_deadline(m_stream, deadline);
-    auto [error, size] = await<error_code, std::size_t>([&](auto handler) {
+    const auto [error, size] = await_until(m_stream, deadline, [&](auto handler) {
         http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler));
     });
     piece.resize(max_bytes - body.size);
@@ -331,10 +355,10 @@
                            reason& why)
 {
     m_started = true;
-    set_deadline(m_stream, deadline);
     const std::array buffers = {boost::asio::buffer(first), boost::asio::buffer(second)};
-    const auto [error, size] = await<error_code, std::size_t>(
-        [&](auto handler) { boost::asio::async_write(m_stream, buffers, std::move(handler)); });
+    const auto [error, size] = await_until(m_stream, deadline, [&](auto handler) {
+        boost::asio::async_write(m_stream, buffers, std::move(handler));
+    });
     if (error) {
         why = from_error(error);
         return false;
--- /dev/null
+++ b/pomelohead/forwarding/http_message_test.cc
@@ -0,0 +1,175 @@
+#include "pomelohead/forwarding/http_message.h"
+
+#include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/forwarding/http_server.h"
+#include "testing/fiber_program.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::forwarding {
+namespace {
+
+using namespace std::chrono_literals;
+
+const endpoint here{"127.90.0.1", 7490};
+
+// Sends raw bytes to a server that answers 200 with the size of the body, and
+// returns what comes back until the server closes or falls silent.
+std::string exchange_raw(boost::asio::io_context& io, std::string_view bytes)
+{
+    reason why;
+    const auto c = connect(io, here, clock_type::now() + 5s, why);
+    BOOST_REQUIRE_MESSAGE(c, why.m_text);
+    await<boost::system::error_code, std::size_t>([&](auto handler) {
+        boost::asio::async_write(c->m_stream, boost::asio::buffer(bytes), std::move(handler));
+    });
+    boost::system::error_code ignored;
+    c->m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    std::string answer;
+    std::array<char, 4096> buffer{};
+    while (true) {
+        const auto [error, size] = await<boost::system::error_code, std::size_t>([&](auto handler) {
+            c->m_stream.async_read_some(boost::asio::buffer(buffer), std::move(handler));
+        });
+        answer.append(buffer.data(), size);
+        if (error) {
+            return answer;
+        }
+    }
+}
+
+void count_body(server_exchange& exchange)
+{
+    std::size_t total = 0;
+    std::string piece;
+    reason why;
+    body_state state = exchange.request().done() ? body_state::end : body_state::more;
+    while (state == body_state::more) {
+        state = exchange.request().read_body(piece, max_piece_bytes, clock_type::now() + 5s, why);
+        total += piece.size();
+    }
+    http::header<false> head;
+    head.result(state == body_state::end ? 200 : 400);
+    exchange.respond(head, std::to_string(total), clock_type::now() + 5s, why);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ambiguous_heads_are_refused_and_plain_ones_served)
+{
+    struct head_case {
+        const char* m_name;
+        std::string m_bytes;
+        std::string m_status;
+    };
+    const head_case cases[] = {
+        {"plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "200"},
+        {"a body by length", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", "200"},
+        {"a chunked body",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "200"},
+        {"both lengths",
+         "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"the other order",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         "400"},
+        {"two equal lengths",
+         "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400"},
+        {"a list of lengths", "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc", "400"},
+        {"a signed length", "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", "400"},
+        {"another coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"a folded line", "GET / HTTP/1.1\r\nX-A: b\r\n c\r\n\r\n", "400"},
+        {"a space before the colon", "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", "400"},
+        {"a bare CR in a value", "GET / HTTP/1.1\r\nX-A: b\rc\r\n\r\n", "400"},
+        {"no version", "GET /\r\n\r\n", "400"},
+        {"not HTTP", "\x16\x03\x01\x02\r\n\r\n", "400"},
+        {"a huge head", "GET / HTTP/1.1\r\nX-A: " + std::string(20'000, 'a') + "\r\n\r\n", "431"},
+        {"a cut body", "POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\nabc", "400"},
+        {"a bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+         "400"},
+    };
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        http_server server(io, here, {}, count_body);
+        reason why;
+        BOOST_REQUIRE_MESSAGE(server.start(why), why.m_text);
+        for (const head_case& c : cases) {
+            BOOST_TEST_CONTEXT(c.m_name)
+            {
+                const std::string answer = exchange_raw(io, c.m_bytes);
+                BOOST_TEST(answer.substr(0, 13) == "HTTP/1.1 " + c.m_status + " ");
+            }
+        }
+        // The process has stayed up, and the next plain request is served.
+        BOOST_TEST(exchange_raw(io, cases[0].m_bytes).starts_with("HTTP/1.1 200"));
+        server.close_listener();
+        server.wait();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_head_that_stalls_is_refused)
+{
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        server_options options;
+        options.m_head.m_rest = 50ms;
+        http_server server(io, here, options, count_body);
+        reason why;
+        BOOST_REQUIRE_MESSAGE(server.start(why), why.m_text);
+        const auto c = connect(io, here, clock_type::now() + 5s, why);
+        BOOST_REQUIRE(c);
+        await<boost::system::error_code, std::size_t>([&](auto handler) {
+            boost::asio::async_write(c->m_stream, boost::asio::buffer("GET / HT", 8),
+                                     std::move(handler));
+        });
+        response_reader reader(c->m_stream, c->m_buffer);
+        BOOST_REQUIRE_MESSAGE(reader.read_head({}, why), why.m_text);
+        BOOST_TEST(reader.head().result_int() == 408U);
+        server.close_listener();
+        server.wait();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(answers_without_a_length_or_cut_short_are_not_whole)
+{
+    struct answer_case {
+        const char* m_bytes;
+        body_state m_state;
+    };
+    const answer_case cases[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", body_state::end},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", body_state::failed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         body_state::end},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", body_state::failed},
+        {"HTTP/1.1 200 OK\r\n\r\nabc", body_state::failed},
+    };
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        boost::asio::ip::tcp::acceptor acceptor(io, to_asio(here));
+        for (const answer_case& c : cases) {
+            BOOST_TEST_CONTEXT(c.m_bytes)
+            {
+                reason why;
+                const auto client = connect(io, here, clock_type::now() + 5s, why);
+                BOOST_REQUIRE(client);
+                boost::asio::ip::tcp::socket socket(io);
+                await<boost::system::error_code>(
+                    [&](auto handler) { acceptor.async_accept(socket, std::move(handler)); });
+                boost::asio::write(socket, boost::asio::buffer(std::string_view(c.m_bytes)));
+                socket.close();
+                response_reader reader(client->m_stream, client->m_buffer);
+                BOOST_REQUIRE_MESSAGE(reader.read_head({}, why), why.m_text);
+                std::string piece;
+                body_state state = body_state::more;
+                while (state == body_state::more) {
+                    state = reader.read_body(piece, max_piece_bytes, clock_type::now() + 5s, why);
+                }
+                BOOST_TEST((state == c.m_state));
+            }
+        }
+    });
+}
+
+} // namespace pomelohead::forwarding
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -39,7 +39,7 @@
           io, m_timers, m_stats, entry_options_of(m_settings, m_incarnation),
           {.m_config = [this] { return m_distributor.current(); },
            .m_is_alive = [this](const std::string& address) { return m_members.is_alive(address); },
-           .m_is_host = [this](const std::string& address) { return m_members.is_known(address); },
+           .m_is_host = [this](const std::string& address) { return is_host(address); },
            .m_request_began = [this] { m_shutdown.request_began(); },
            .m_request_ended = [this] { m_shutdown.request_ended(); }}),
       m_admin(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_admin_port}, {},
@@ -87,6 +87,12 @@
     m_stats.add("versions_applied_total");
 }
 
+bool node::is_host(const std::string& address) const
+{
+    const config::snapshot_ptr config = m_distributor.current();
+    return m_members.is_known(address) || (config && config->has_host(address));
+}
+
 lifecycle::drain_view node::drain_view_of(const std::string& target) const
 {
     const config::snapshot_ptr config = m_distributor.current();
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -4,8 +4,7 @@
 // nodes; the entry takes callers' requests; the owner hands them to the target
 // beside it; the admin page shows all of it to operators.
 //
-//     boost::asio::io_context io;
-//     install_fiber_scheduler(io);
+//     boost::asio::io_context& io = install_fiber_scheduler();
 //     node n(settings, io);
 //     reason why;
 //     if (!n.start(why)) ...
@@ -61,6 +60,7 @@
     void on_phase(lifecycle::shutdown_phase phase);
     void on_configuration(const config::snapshot_ptr& config);
     void add_gauges();
+    [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
 
     settings::node_settings m_settings;
--- a/pomelohead/runtime/fiber.cc
+++ b/pomelohead/runtime/fiber.cc
@@ -13,6 +13,8 @@
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include <memory>
+
 namespace pomelohead {
 namespace {
 
@@ -23,7 +25,10 @@
 
 class asio_scheduler final : public boost::fibers::algo::algorithm {
 public:
-    explicit asio_scheduler(boost::asio::io_context& io) : m_io(io), m_guard(io.get_executor()) {}
+    explicit asio_scheduler(std::shared_ptr<boost::asio::io_context> io)
+        : m_owned(std::move(io)), m_io(*m_owned), m_guard(m_io.get_executor())
+    {
+    }
 
     void awakened(boost::fibers::context* fiber) noexcept override { fiber->ready_link(m_ready); }
 
@@ -56,6 +61,8 @@
     }
 
 private:
+    // The thread's last fibers end after its main function has returned.
+    std::shared_ptr<boost::asio::io_context> m_owned;
     boost::asio::io_context& m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     boost::fibers::scheduler::ready_queue_type m_ready;
@@ -69,9 +76,12 @@
 
 } // namespace
 
-void install_fiber_scheduler(boost::asio::io_context& io)
+boost::asio::io_context& install_fiber_scheduler()
 {
+    constexpr int one_thread = 1;
+    auto io = std::make_shared<boost::asio::io_context>(one_thread);
     boost::fibers::use_scheduling_algorithm<asio_scheduler>(io);
+    return *io;
 }
 
 void spawn_detached(std::function<void()> body)
--- a/pomelohead/runtime/fiber.h
+++ b/pomelohead/runtime/fiber.h
@@ -4,8 +4,7 @@
 // runs until its main function returns. A fiber waits for an asynchronous
 // operation by await(), which hands the operation a completion handler:
 //
-//     boost::asio::io_context io;
-//     install_fiber_scheduler(io);
+//     boost::asio::io_context& io = install_fiber_scheduler();
 //     fiber_group fibers;
 //     fibers.spawn([&] {
 //         auto [error, size] = await<boost::system::error_code, std::size_t>(
@@ -32,8 +31,9 @@
 
 namespace pomelohead {
 
-/// Makes the calling thread's fibers wait in `io`. Call once, before any fiber starts.
-void install_fiber_scheduler(boost::asio::io_context& io);
+/// Makes the calling thread's fibers wait in an io_context, which lives as long as
+/// the thread. Call once in a thread, before any fiber starts.
+boost::asio::io_context& install_fiber_scheduler();
 
 /// Starts a fiber of the calling thread that nobody waits for.
 void spawn_detached(std::function<void()> body);
--- a/pomelohead/source/source_client_test.cc
+++ b/pomelohead/source/source_client_test.cc
@@ -1,5 +1,7 @@
 #include "pomelohead/source/source_client.h"
 
+#include "testing/fiber_program.h"
+
 #include "pomelohead/runtime/fiber.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -7,7 +9,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
-#include <thread>
 
 namespace pomelohead::source {
 namespace {
@@ -67,11 +68,7 @@
 exchange read_from(const std::string& answer, bool hangs, const read_request& request)
 {
     exchange result;
-    // The scheduler belongs to a thread, so each exchange has one of its own; the
-    // io_context outlives it.
-    asio::io_context io;
-    std::thread([&] {
-        install_fiber_scheduler(io);
+    testing::run_in_fiber([&](asio::io_context& io) {
         scripted_server server(io, answer, hangs);
         source_client client(io, {.m_address = "127.50.9.1",
                                   .m_port = server.port(),
@@ -82,7 +79,7 @@
         fibers.spawn([&] { result.m_answer = client.read(request); });
         fibers.wait();
         result.m_request = server.request();
-    }).join();
+    });
     return result;
 }
 
--- a/testing/fiber_net.h
+++ b/testing/fiber_net.h
@@ -1,7 +1,6 @@
 // Sockets for the stand-ins: fibers that accept, wait and notice a closed peer.
 //
-//     boost::asio::io_context io;
-//     install_fiber_scheduler(io);
+//     boost::asio::io_context& io = install_fiber_scheduler();
 //     fiber_server server(io, "127.0.0.1", 7500, [](tcp::socket& socket) { answer(socket); });
 //     server.run();
 #pragma once
--- a/testing/platform_standin_main.cc
+++ b/testing/platform_standin_main.cc
@@ -306,8 +306,7 @@
     app.add_option("--rate", rate_per_s, "calls a second; above, readers get 429");
     CLI11_PARSE(app, argc, argv);
     try {
-        boost::asio::io_context io;
-        pomelohead::install_fiber_scheduler(io);
+        boost::asio::io_context& io = pomelohead::install_fiber_scheduler();
         pomelohead::testing::platform platform(io, rate_per_s);
         for (const std::string& address : addresses) {
             platform.listen(address, port);
