Peers and membership: WebSocket links with CBOR, gossip on rings, watchers by rendezvous

Cause: with every node watching the source its calls grow with the fleet, and a failure domain that is cut from the source gets nothing. Change: typed messages with a bounded CBOR reader; peer_transport (websocketpp on the node's io_context, datagram semantics, bounded and idle-closed links, blocked peers); member_table, prober, ring overlay and watcher choice; gossip; hosts; core with start-up, freeze and silence rules. Ruled out: random partners for each ping (a new connection each time); UDP for pings (a second transport whose reachability differs from the first); a full mesh.

--- a/pomelohead/distribution/distributor.cc
+++ b/pomelohead/distribution/distributor.cc
@@ -2,6 +2,7 @@
 // run where they may wait, and never inside a completion handler.
 #include "pomelohead/distribution/distributor.h"
 
+#include "pomelohead/distribution/peer_transport.h"
 #include "pomelohead/runtime/fiber.h"
 
 #include <deque>
@@ -16,6 +17,12 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+std::uint64_t milliseconds_since_1970()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
+}
+
 std::optional<milliseconds> age(const std::optional<time_point>& since, time_point now)
 {
     if (!since) {
@@ -29,6 +36,7 @@
     core_options result = options.m_core;
     result.m_self = options.m_self;
     result.m_seeds = options.m_seeds;
+    result.m_epoch = milliseconds_since_1970();
     return result;
 }
 
@@ -118,10 +126,36 @@
     impl(distribution_options options, timer_service& timers, boost::asio::io_context& io)
         : m_options(std::move(options)), m_timers(timers, m_queue),
           m_source(io, m_options.m_source),
+          m_peers({.m_address = m_options.m_self.m_address, .m_port = m_options.m_control_port},
+                  m_timers, io, make_transport_hooks()),
           m_core(with_identity(m_options), m_timers, make_hooks(), random_seed())
     {
     }
 
+    transport_hooks make_transport_hooks()
+    {
+        return {.m_greeting = [this] { return m_core.greeting(); },
+                .m_receive =
+                    [this](const std::string& from, message item) {
+                        m_queue.post(
+                            [this, from, item = std::move(item)] { m_core.receive(from, item); });
+                    },
+                .m_failed =
+                    [this](const std::string& address) {
+                        m_queue.post([this, address] { m_core.connection_failed(address); });
+                    },
+                .m_log = make_log_hook()};
+    }
+
+    log_hook make_log_hook()
+    {
+        return [this](log_level level, std::string_view event, const std::string& text) {
+            if (m_options.m_log) {
+                m_options.m_log(level, event, text);
+            }
+        };
+    }
+
     core_hooks make_hooks()
     {
         return {.m_read =
@@ -131,14 +165,11 @@
                             done(m_source.read(request));
                         });
                     },
-                .m_send = [](const std::string&, const message&) {},
+                .m_send = [this](const std::string& address,
+                                 const message& item) { m_peers.send(address, item); },
                 .m_applied = [this](const config::snapshot_ptr& config) { applied(config); },
-                .m_log =
-                    [this](log_level level, std::string_view event, const std::string& text) {
-                        if (m_options.m_log) {
-                            m_options.m_log(level, event, text);
-                        }
-                    }};
+                .m_thaw = [this](duration frozen) { thawed(frozen); },
+                .m_log = make_log_hook()};
     }
 
     void applied(const config::snapshot_ptr& config)
@@ -149,10 +180,18 @@
         }
     }
 
+    void thawed(duration frozen)
+    {
+        for (const auto& hook : m_thaw_hooks) {
+            hook(frozen);
+        }
+    }
+
     distribution_options m_options;
     work_queue m_queue;
     queued_timers m_timers;
     source::source_client m_source;
+    peer_transport m_peers;
     core m_core;
     fiber_group m_fibers;
     std::vector<std::function<void(config::snapshot_ptr)>> m_applied_hooks;
@@ -168,8 +207,12 @@
 
 distributor::~distributor() = default;
 
-bool distributor::start(reason&)
+bool distributor::start(reason& why)
 {
+    m_impl->m_peers.block(m_impl->m_options.m_blocked_peers);
+    if (m_impl->m_options.m_core.m_gossip_enabled && !m_impl->m_peers.start(why)) {
+        return false;
+    }
     m_impl->m_fibers.spawn([this] { m_impl->m_queue.run(); });
     m_impl->m_queue.post([this] { m_impl->m_core.start(); });
     return true;
@@ -186,6 +229,7 @@
     m_impl->m_core.stop();
     m_impl->m_queue.close();
     m_impl->m_source.cancel();
+    m_impl->m_peers.stop();
     m_impl->m_fibers.wait();
 }
 
@@ -206,21 +250,17 @@
 
 std::vector<membership::member> distributor::members() const
 {
-    const node_identity& self = m_impl->m_options.m_self;
-    return {{.m_node = self.m_node,
-             .m_address = self.m_address,
-             .m_failure_domain = self.m_failure_domain,
-             .m_region = self.m_region,
-             .m_version = m_impl->m_core.versions().gate().held().m_version}};
+    return m_impl->m_core.members();
 }
 
 void distributor::announce_leaving()
 {
+    m_impl->m_queue.post([this] { m_impl->m_core.announce_leaving(); });
 }
 
 void distributor::set_blocked_peers(std::vector<std::string> addresses)
 {
-    m_impl->m_options.m_blocked_peers = std::move(addresses);
+    m_impl->m_peers.block(std::move(addresses));
 }
 
 distribution_status distributor::status() const
@@ -233,11 +273,19 @@
     result.m_in_force_for = age(m_impl->m_applied_at, now);
     result.m_source = node.reader().status();
     result.m_source_contact_age = age(node.reader().status().m_last_contact, now);
-    result.m_config_age = result.m_source_contact_age;
+    result.m_config_age = age(node.source_confirmed(), now);
     result.m_last_refusal = node.versions().gate().last_refusal();
     result.m_heard_version = node.versions().heard_version();
-    result.m_bytes_sent = m_impl->m_source.bytes_sent();
-    result.m_bytes_received = m_impl->m_source.bytes_received();
+    result.m_incarnation = node.peers().table().self().m_incarnation;
+    result.m_joined = node.is_joined();
+    if (node.last_freeze()) {
+        result.m_last_freeze = std::chrono::duration_cast<milliseconds>(*node.last_freeze());
+    }
+    result.m_confirmed = !node.peers().is_unconfirmed();
+    result.m_superseded = node.peers().is_superseded();
+    result.m_links = m_impl->m_peers.links();
+    result.m_bytes_sent = m_impl->m_source.bytes_sent() + m_impl->m_peers.bytes_sent();
+    result.m_bytes_received = m_impl->m_source.bytes_received() + m_impl->m_peers.bytes_received();
     return result;
 }
 
--- a/pomelohead/distribution/replicator.cc
+++ b/pomelohead/distribution/replicator.cc
@@ -144,6 +144,7 @@
         return judgement::refused;
     }
     const version_id id{parsed->m_version, config::content_hash(bytes)};
+    m_source_version = id;
     const judgement verdict = m_gate.judge(id);
     switch (verdict) {
     case judgement::take:
--- a/pomelohead/distribution/replicator.h
+++ b/pomelohead/distribution/replicator.h
@@ -70,6 +70,9 @@
     /// The highest version that a credited claim names.
     [[nodiscard]] config::version_number heard_version() const;
 
+    /// What the source last gave as its newest.
+    [[nodiscard]] const version_id& source_version() const { return m_source_version; }
+
     /// Whether a newer version is being put together.
     [[nodiscard]] bool is_busy() const { return !m_parts.candidates().empty(); }
 
@@ -107,6 +110,7 @@
     version_gate m_gate;
     assembly m_parts;
     bool m_first_allowed = false;
+    version_id m_source_version;
     std::map<std::string, claim> m_claims;               // by address, newer than in force
     std::map<version_id, std::set<std::string>> m_heard; // claimants of credited claims
     std::map<std::pair<std::string, version_id>, time_point> m_discredited; // until when
--- /dev/null
+++ b/pomelohead/membership/overlay.cc
@@ -0,0 +1,86 @@
+// Rendezvous hashing: Thaler and Ravishankar, "Using Name-Based Mappings to
+// Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998. When a
+// watcher goes, only its own place is filled anew.
+#include "pomelohead/membership/overlay.h"
+
+#include <algorithm>
+
+namespace pomelohead::membership {
+namespace {
+
+// FNV-1a over the text, then the finalizer of splitmix64, as FNV alone leaves
+// addresses that differ in the last digit close together.
+std::uint64_t hash(std::string_view text, std::uint64_t salt)
+{
+    constexpr std::uint64_t fnv_offset = 0xcbf29ce484222325U;
+    constexpr std::uint64_t fnv_prime = 0x100000001b3U;
+    std::uint64_t value = fnv_offset ^ (salt * fnv_prime);
+    for (const char c : text) {
+        value = (value ^ static_cast<unsigned char>(c)) * fnv_prime;
+    }
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+constexpr std::uint64_t watcher_salt = 1'000;
+
+void add_once(std::vector<std::string>& list, const std::string& address)
+{
+    if (std::ranges::find(list, address) == list.end()) {
+        list.push_back(address);
+    }
+}
+
+} // namespace
+
+neighbours find_neighbours(const member& self, const std::vector<const member*>& present)
+{
+    neighbours result;
+    std::vector<std::string> predecessors;
+    for (unsigned ring = 0; ring < ring_count; ++ring) {
+        const std::uint64_t own = hash(self.m_address, ring);
+        const member* successor = nullptr;
+        const member* predecessor = nullptr;
+        std::uint64_t up = 0;   // distance from self up to the successor
+        std::uint64_t down = 0; // distance from the predecessor up to self
+        for (const member* other : present) {
+            if (ring == 0 && other->m_failure_domain != self.m_failure_domain) {
+                continue;
+            }
+            const std::uint64_t place = hash(other->m_address, ring);
+            if (successor == nullptr || place - own < up) {
+                successor = other;
+                up = place - own;
+            }
+            if (predecessor == nullptr || own - place < down) {
+                predecessor = other;
+                down = own - place;
+            }
+        }
+        if (successor != nullptr) {
+            add_once(result.m_successors, successor->m_address);
+            add_once(predecessors, predecessor->m_address);
+        }
+    }
+    result.m_all = result.m_successors;
+    for (const std::string& address : predecessors) {
+        add_once(result.m_all, address);
+    }
+    return result;
+}
+
+bool is_watcher(const member& self, const std::vector<const member*>& present, std::size_t count)
+{
+    if (self.m_state == member_state::leaving) {
+        return false;
+    }
+    const std::uint64_t own = hash(self.m_address, watcher_salt);
+    const auto better = std::ranges::count_if(present, [&](const member* other) {
+        return other->m_failure_domain == self.m_failure_domain &&
+               other->m_state == member_state::alive && hash(other->m_address, watcher_salt) > own;
+    });
+    return static_cast<std::size_t>(better) < count;
+}
+
+} // namespace pomelohead::membership
