--- a/pomelohead/cli/admin_client_test.cc
+++ b/pomelohead/cli/admin_client_test.cc
@@ -124,7 +124,8 @@
 const std::string status_page = R"({"node":"rota-1","failure_domain":"bala","version":7,
     "config_age_s":3,"source":{"state":"up","last_contact_s":1},"last_refusal":null,
     "members":[],"draining":true,"uptime_s":60})";
-const std::string explain_page = R"({"route":{"route":"rota","account":"Gwynedd","class":"short",
+const std::string explain_page =
+    R"({"route":{"name":"Rota heno","account":"Gwynedd","class":"short",
     "idempotent":true,"urgency":"urgent","deadline_ms":800},"service":"rota","targets":[
     {"target":"rota-1","host":"127.0.1.1","failure_domain":"bala","draining":false,"free":9,
     "queued":0,"slow":false,"weight":1,"chosen":true,"why":"most free slots"}],"why":""})";
@@ -262,6 +263,7 @@
         {{"wait", "--version", "8", "--timeout", "-1s"}, -1, ""},
         {{"wait", "--version", "8"}, -1, ""},
         {{"explain", "--node", node, "GET", "/rota/tonight"}, 0, "->  rota-1"},
+        {{"explain", "--node", node, "GET", "/rota/tonight"}, 0, "route 'Rota heno' for"},
         {{"explain", "--node", node, "PUT", "/none"}, 1, "no route matches"},
         {{"explain", "--node", node, "--json", "GET", "/rota/tonight"}, 0, "\"chosen\": true"},
         {{"explain", "--node", closed, "GET", "/rota"}, 2, ""},
--- a/pomelohead/cli/explain_command.cc
+++ b/pomelohead/cli/explain_command.cc
@@ -60,7 +60,7 @@
         std::cout << "no route: " << cell(page, "why") << '\n';
         return;
     }
-    std::cout << "route " << cell(route, "route") << " for account " << cell(route, "account")
+    std::cout << "route '" << cell(route, "name") << "' for account " << cell(route, "account")
               << ": service " << cell(page, "service") << ", class " << cell(route, "class")
               << ", idempotent " << cell(route, "idempotent") << ", urgency "
               << cell(route, "urgency") << ", deadline " << cell(route, "deadline_ms") << " ms\n";
--- a/pomelohead/cli/node_status.h
+++ b/pomelohead/cli/node_status.h
@@ -37,7 +37,8 @@
     std::string m_failure_domain;
     config::version_number m_version = 0; ///< in force; 0: none
     std::string m_manifest_hash;
-    double m_config_age_s = 0;
+    std::optional<double> m_config_age_s; ///< since it was last known to be the newest
+    std::optional<double> m_in_force_s;   ///< since it was put in force
     std::string m_source_state;
     std::optional<double> m_last_contact_s; ///< since the source last answered
     std::optional<refused_version> m_last_refusal;
--- a/pomelohead/cli/status_command.cc
+++ b/pomelohead/cli/status_command.cc
@@ -92,9 +92,9 @@
     return std::to_string(alive) + "/" + std::to_string(status.m_members.size());
 }
 
-std::string seconds_text(double seconds)
+std::string seconds_text(std::optional<double> seconds)
 {
-    return std::to_string(std::lround(seconds)) + " s";
+    return seconds ? std::to_string(std::lround(*seconds)) + " s" : "-";
 }
 
 int run_status(const status_options& options)
@@ -103,12 +103,12 @@
     if (options.m_common.m_json) {
         return print_pages(fetch_all(nodes, "/status", answer_limit));
     }
-    text_table table(
-        {"NODE", "ADDRESS", "FAILURE DOMAIN", "VERSION", "AGE", "SOURCE", "ALIVE", "UP", "NOTES"});
+    text_table table({"NODE", "ADDRESS", "FAILURE DOMAIN", "VERSION", "IN FORCE", "AGE", "SOURCE",
+                      "ALIVE", "UP", "NOTES"});
     std::size_t answered = 0;
     for (const node_report& report : ask_status(fetch_all, nodes, answer_limit)) {
         if (!report.m_status) {
-            table.add({"-", to_string(report.m_address), "-", "-", "-", "-", "-", "-",
+            table.add({"-", to_string(report.m_address), "-", "-", "-", "-", "-", "-", "-",
                        report.m_why.m_text});
             continue;
         }
@@ -116,8 +116,9 @@
         ++answered;
         table.add({status.m_node, to_string(report.m_address), status.m_failure_domain,
                    status.m_version == 0 ? "none" : std::to_string(status.m_version),
-                   seconds_text(status.m_config_age_s), status.m_source_state,
-                   member_counts(status), seconds_text(status.m_uptime_s), notes_of(status)});
+                   seconds_text(status.m_in_force_s), seconds_text(status.m_config_age_s),
+                   status.m_source_state, member_counts(status), seconds_text(status.m_uptime_s),
+                   notes_of(status)});
     }
     std::cout << table.str();
     std::cout << answered << " of " << count_of(nodes.size(), "node") << " answered\n";
