Forwarding proved over loopback: what callers are told for each way to fail

Cause: the data path had no tests of its own outcomes.

Ruled out: a simulator of a cluster; the tests run real entries and owners with scripted targets in one process.

Change: forwarding_test with tables of misbehaving targets, owners that are gone or drain, large bodies, cancellation, tickets, bounds. A retry is now paid for only where an owner is left to send it to, so a refusal names its true reason.

Before: "declined by every target" was told as retry-refused.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -251,10 +251,6 @@
         }
         m_service.m_stats.add("hedges_total");
     }
-    else if (!m_attempts.empty() && !take_retry()) {
-        feed({.m_kind = entry_event_kind::retry_refused});
-        return;
-    }
     if (m_ticket) {
         // Callers write tickets; a node connects to none but the mesh's own hosts.
         if (!m_service.m_hooks.m_is_host(m_ticket->m_address)) {
@@ -278,6 +274,10 @@
         feed({.m_kind = entry_event_kind::no_owner});
         return;
     }
+    if (!hedge && !m_attempts.empty() && !take_retry()) {
+        feed({.m_kind = entry_event_kind::retry_refused});
+        return;
+    }
     start_attempt(std::move(*target));
     if (m_attempts.size() == 1) {
         if (const auto delay = m_service.m_hedges.delay_for(m_route->m_service, m_call, now)) {
--- /dev/null
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -0,0 +1,465 @@
+// Entries, owners and scripted targets over loopback: what a caller is told, and
+// how often a target runs its request, for each way in which things go wrong.
+#include "pomelohead/config/bundle.h"
+#include "pomelohead/forwarding/connection_watch.h"
+#include "pomelohead/forwarding/entry_service.h"
+#include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/owner_service.h"
+#include "pomelohead/runtime/asio_timer_service.h"
+#include "testing/fiber_program.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::forwarding {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t caller_port = 7400;
+constexpr std::uint16_t owner_port = 7401;
+constexpr std::uint16_t target_port = 7100;
+
+std::string address_of(int host)
+{
+    return "127.91.0." + std::to_string(host);
+}
+
+// What a scripted target does with a request.
+enum class script {
+    answer,       // 200 with the body's size
+    lose,         // closes without an answer
+    cut,          // says 10 bytes, sends 3, closes
+    foreign,      // the answer of another request
+    no_length,    // an answer that ends where the connection does
+    decline,      // 503, not run
+    hang,         // never answers
+    large_answer, // 1 MB
+    cut_late,     // says 1 MB, sends half, closes
+};
+
+struct fake_target {
+    fake_target(boost::asio::io_context& io, int host)
+        : m_server(io, {address_of(host), target_port}, {}, [this](server_exchange& e) { run(e); })
+    {
+        reason why;
+        BOOST_REQUIRE_MESSAGE(m_server.start(why), why.m_text);
+    }
+
+    void run(server_exchange& e)
+    {
+        std::string piece;
+        reason why;
+        const time_point limit = clock_type::now() + 5s;
+        body_state state = e.request().done() ? body_state::end : body_state::more;
+        std::size_t total = 0;
+        while (state == body_state::more) {
+            state = e.request().read_body(piece, max_piece_bytes, limit, why);
+            total += piece.size();
+        }
+        m_runs += m_script == script::decline ? 0 : 1;
+        http::header<false> head;
+        head.result(200);
+        constexpr std::size_t large = 1'000'000;
+        switch (m_script) {
+        case script::answer:
+            e.respond(head, std::to_string(total), limit, why);
+            return;
+        case script::lose:
+            break;
+        case script::cut:
+            e.begin(head, 10, "abc", limit, why);
+            break;
+        case script::foreign:
+            head.set(request_id_header, "another");
+            e.respond(head, "x", limit, why);
+            return;
+        case script::no_length:
+            head.set(http::field::connection, "close");
+            message_writer(e.stream()).write_head(head, body_framing::none, "abc", limit, why);
+            break;
+        case script::decline:
+            head.result(503);
+            head.set(not_run_header, "true");
+            e.respond(head, {}, limit, why);
+            return;
+        case script::hang:
+            m_gone.reset();
+            {
+                connection_watch watch(e.stream(), [this] { m_gone.set(); });
+                m_gone.wait_for(10s);
+            }
+            break;
+        case script::large_answer:
+            e.respond(head, std::string(large, 'x'), limit, why);
+            return;
+        case script::cut_late:
+            e.begin(head, large, std::string(large / 2, 'x'), limit, why);
+            break;
+        }
+        e.close_after();
+        e.stream().close();
+    }
+
+    script m_script = script::answer;
+    int m_runs = 0;
+    fiber_event m_gone; ///< the owner closed the connection of a hanging request
+    http_server m_server;
+};
+
+config::snapshot_ptr make_config(int targets)
+{
+    auto config = std::make_shared<config::snapshot>();
+    config->m_version = 1;
+    const config::route base{.m_account = "a", .m_service = "s", .m_deadline = 2s};
+    for (const char* name : {"get", "post", "late", "upload"}) {
+        config::route route = base;
+        route.m_name = name;
+        route.m_path_prefix = "/" + std::string(name);
+        route.m_method = "*";
+        route.m_idempotent = route.m_name == "get";
+        route.m_deadline = route.m_name == "late" ? 150ms : 5000ms;
+        route.m_class = route.m_name == "upload" ? config::work_class::long_work
+                                                 : config::work_class::short_work;
+        config->m_routes.push_back(route);
+    }
+    config::service service{.m_name = "s", .m_targets = {}};
+    for (int i = 1; i <= targets; ++i) {
+        service.m_targets.push_back({.m_name = "t" + std::to_string(i),
+                                     .m_service = "s",
+                                     .m_host = address_of(i),
+                                     .m_port = target_port,
+                                     .m_failure_domain = "d",
+                                     .m_slots = 4,
+                                     .m_connections = 8});
+    }
+    config->m_services.push_back(service);
+    return config;
+}
+
+// One host: a node's owner side and, where wanted, its target.
+struct host {
+    host(boost::asio::io_context& io, timer_service& timers, metrics& stats, int number,
+         const config::snapshot_ptr& config)
+        : m_target(std::make_unique<fake_target>(io, number)),
+          m_owner(io, timers, stats,
+                  {.m_listen = {address_of(number), owner_port},
+                   .m_incarnation = 7,
+                   .m_kept_bytes_per_request = kept_body::min_bytes,
+                   .m_admission = {.m_slow_start = false}},
+                  {.m_config = [config] { return config; },
+                   .m_is_draining = [this](const std::string&) { return m_draining; },
+                   .m_request_began = [] {},
+                   .m_request_ended = [] {}})
+    {
+        m_owner.apply(*config);
+        reason why;
+        BOOST_REQUIRE_MESSAGE(m_owner.start(why), why.m_text);
+    }
+
+    void stop_owner()
+    {
+        m_owner.server().close_listener();
+        m_owner.server().abort();
+        m_owner.server().wait();
+    }
+
+    bool m_draining = false;
+    std::unique_ptr<fake_target> m_target;
+    owner_service m_owner;
+};
+
+struct answer {
+    unsigned m_status = 0;
+    std::string m_outcome;
+    std::string m_reason;
+    std::string m_body;
+    bool m_whole = false;
+};
+
+class mesh {
+public:
+    mesh(boost::asio::io_context& io, int targets)
+        : m_io(io), m_timers(io), m_config(make_config(targets)),
+          m_entry(io, m_timers, m_stats,
+                  {.m_listen = {address_of(100), caller_port},
+                   .m_owner_port = owner_port,
+                   .m_failure_domain = "d",
+                   .m_seed = 1,
+                   .m_kept_bytes_per_request = kept_body::min_bytes,
+                   .m_routing = {.m_hedging = false}},
+                  {.m_config = [this] { return m_config; },
+                   .m_is_alive = [](const std::string&) { return true; },
+                   .m_is_host = [](const std::string&) { return true; },
+                   .m_request_began = [] {},
+                   .m_request_ended = [] {}})
+    {
+        for (int i = 1; i <= targets; ++i) {
+            m_hosts.push_back(std::make_unique<host>(io, m_timers, m_stats, i, m_config));
+        }
+        reason why;
+        BOOST_REQUIRE_MESSAGE(m_entry.start(why), why.m_text);
+    }
+
+    host& at(int number) { return *m_hosts[static_cast<std::size_t>(number - 1)]; }
+    int runs() const
+    {
+        int total = 0;
+        for (const auto& h : m_hosts) {
+            total += h->m_target->m_runs;
+        }
+        return total;
+    }
+
+    answer call(http::verb method, const std::string& path, std::size_t body_bytes = 0,
+                const std::string& ticket = {})
+    {
+        reason why;
+        const time_point limit = clock_type::now() + 10s;
+        const auto c = connect(m_io, {address_of(100), caller_port}, limit, why);
+        BOOST_REQUIRE_MESSAGE(c, why.m_text);
+        http::header<true> head;
+        head.method(method);
+        head.target(path);
+        head.set(http::field::content_length, std::to_string(body_bytes));
+        if (!ticket.empty()) {
+            head.set(ticket_header, ticket);
+        }
+        message_writer writer(c->m_stream);
+        writer.write_head(head, body_framing::length, std::string(body_bytes, 'b'), limit, why);
+        return read_answer(*c, limit);
+    }
+
+    boost::asio::io_context& m_io;
+    asio_timer_service m_timers;
+    metrics m_stats;
+    config::snapshot_ptr m_config;
+    std::vector<std::unique_ptr<host>> m_hosts;
+    entry_service m_entry;
+
+private:
+    static answer read_answer(client_connection& c, time_point limit)
+    {
+        response_reader reader(c.m_stream, c.m_buffer);
+        reason why;
+        answer result;
+        if (!reader.read_head({.m_first_byte = limit}, why)) {
+            return result;
+        }
+        result.m_status = reader.head().result_int();
+        result.m_outcome = std::string(reader.head()[outcome_header]);
+        result.m_reason = std::string(reader.head()[reason_header]);
+        std::string piece;
+        body_state state = reader.done() ? body_state::end : body_state::more;
+        while (state == body_state::more) {
+            state = reader.read_body(piece, max_piece_bytes, limit, why);
+            result.m_body += piece;
+        }
+        result.m_whole = state == body_state::end;
+        return result;
+    }
+};
+
+void in_mesh(int targets, const std::function<void(mesh&)>& body)
+{
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        mesh m(io, targets);
+        body(m);
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_a_caller_is_told_when_every_target_misbehaves)
+{
+    struct fault_case {
+        const char* m_name;
+        script m_script;
+        const char* m_path;
+        unsigned m_status;
+        const char* m_outcome;
+        const char* m_reason;
+        int m_runs; ///< of two targets together
+    };
+    const fault_case cases[] = {
+        {"good", script::answer, "/post", 200, "complete", "", 1},
+        {"lost, not idempotent", script::lose, "/post", 502, "unknown", "target-lost", 1},
+        {"lost, idempotent", script::lose, "/get", 502, "unknown", "target-lost", 2},
+        {"cut answer", script::cut, "/post", 502, "unknown", "short-answer", 1},
+        {"foreign answer", script::foreign, "/post", 502, "unknown", "foreign-answer", 1},
+        {"answer without length", script::no_length, "/post", 502, "unknown", "short-answer", 1},
+        {"declined", script::decline, "/post", 503, "not-run", "target-refused", 0},
+        {"too slow", script::hang, "/late", 504, "unknown", "deadline", 1},
+    };
+    for (const fault_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            in_mesh(2, [&](mesh& m) {
+                m.at(1).m_target->m_script = c.m_script;
+                m.at(2).m_target->m_script = c.m_script;
+                const answer a = m.call(http::verb::post, c.m_path, 5);
+                BOOST_TEST(a.m_status == c.m_status);
+                BOOST_TEST(a.m_outcome == c.m_outcome);
+                BOOST_TEST(a.m_reason == c.m_reason);
+                BOOST_TEST(a.m_whole);
+                BOOST_TEST(m.runs() == c.m_runs);
+            });
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_surely_did_not_run_goes_to_another_owner)
+{
+    struct fault_case {
+        const char* m_name;
+        void (*m_break)(host&);
+    };
+    const fault_case cases[] = {
+        {"the target declines", [](host& h) { h.m_target->m_script = script::decline; }},
+        {"the target's process is gone", [](host& h) { h.m_target.reset(); }},
+        {"the owner drains", [](host& h) { h.m_draining = true; }},
+        {"the owner is gone", [](host& h) { h.stop_owner(); }},
+    };
+    for (const fault_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            in_mesh(2, [&](mesh& m) {
+                c.m_break(m.at(1));
+                for (int i = 0; i < 8; ++i) {
+                    const answer a = m.call(http::verb::post, "/post", 5);
+                    BOOST_TEST(a.m_status == 200U);
+                    BOOST_TEST(a.m_body == "5");
+                }
+                BOOST_TEST(m.at(2).m_target->m_runs == 8);
+            });
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(large_bodies_pass_both_ways_in_pieces)
+{
+    in_mesh(1, [](mesh& m) {
+        const std::size_t large = 8UL * 1024 * 1024;
+        const answer up = m.call(http::verb::put, "/upload", large);
+        BOOST_TEST(up.m_status == 200U);
+        BOOST_TEST(up.m_body == std::to_string(large));
+        m.at(1).m_target->m_script = script::large_answer;
+        const answer down = m.call(http::verb::get, "/get");
+        BOOST_TEST(down.m_whole);
+        BOOST_TEST(down.m_body.size() == 1'000'000U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_large_upload_refused_before_its_body_goes_elsewhere_whole)
+{
+    in_mesh(2, [](mesh& m) {
+        m.at(1).m_draining = true;
+        const std::size_t large = 1024UL * 1024;
+        for (int i = 0; i < 4; ++i) {
+            const answer up = m.call(http::verb::put, "/upload", large);
+            BOOST_TEST(up.m_status == 200U);
+            BOOST_TEST(up.m_body == std::to_string(large));
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_cut_after_its_start_is_never_whole)
+{
+    in_mesh(1, [](mesh& m) {
+        m.at(1).m_target->m_script = script::cut_late;
+        const answer a = m.call(http::verb::get, "/get");
+        BOOST_TEST(!a.m_whole);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_the_work)
+{
+    in_mesh(1, [](mesh& m) {
+        m.at(1).m_target->m_script = script::hang;
+        reason why;
+        auto c = connect(m.m_io, {address_of(100), caller_port}, clock_type::now() + 5s, why);
+        http::header<true> head;
+        head.method(http::verb::post);
+        head.target("/post");
+        head.set(http::field::content_length, "0");
+        message_writer(c->m_stream)
+            .write_head(head, body_framing::none, {}, clock_type::now() + 5s, why);
+        while (m.runs() == 0) {
+            sleep_for(1ms);
+        }
+        c.reset();
+        BOOST_TEST(m.at(1).m_target->m_gone.wait_for(5s));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_ticket_runs_once_however_often_it_is_sent)
+{
+    in_mesh(2, [](mesh& m) {
+        const answer ticket = m.call(http::verb::post, "/.pomelohead/ticket?path=/post");
+        BOOST_REQUIRE(ticket.m_status == 200U);
+        const std::string text = ticket.m_body.substr(0, ticket.m_body.find('\n'));
+        for (int i = 0; i < 5; ++i) {
+            const answer a = m.call(http::verb::post, "/post", 3, text);
+            BOOST_TEST(a.m_status == 200U);
+            BOOST_TEST(a.m_body == "3");
+        }
+        BOOST_TEST(m.runs() == 1);
+        const answer other = m.call(http::verb::post, "/post", 4, text);
+        BOOST_TEST(other.m_reason == "ticket-reused");
+        BOOST_TEST(m.runs() == 1);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_ticket_of_an_owner_that_is_gone_is_unknown)
+{
+    in_mesh(2, [](mesh& m) {
+        const std::string old_life = "1/" + address_of(1) + "/6/1/abc/t1";
+        const answer replaced = m.call(http::verb::post, "/post", 3, old_life);
+        BOOST_TEST(replaced.m_outcome == "unknown");
+        m.at(1).stop_owner();
+        const answer gone = m.call(http::verb::post, "/post", 3, old_life);
+        BOOST_TEST(gone.m_outcome == "unknown");
+        BOOST_TEST(m.runs() == 0);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(requests_beyond_their_bounds_are_refused_as_not_run)
+{
+    in_mesh(1, [](mesh& m) {
+        struct bound_case {
+            const char* m_path;
+            const char* m_header;
+            const char* m_value;
+            unsigned m_status;
+        };
+        const bound_case cases[] = {
+            {"/nowhere", "X-Any", "1", 404},
+            {"/post", "Pomelohead-Deadline-Ms", "soon", 400},
+            {"/post", "Pomelohead-Deadline-Ms", "0", 400},
+            {"/post", "Pomelohead-Depth", "-1", 400},
+            {"/post", "Pomelohead-Ticket", "1/nonsense", 400},
+            {"/post", "Pomelohead-Request-Id", "two words", 400},
+            {"/post", "Content-Length", "9000000000", 413},
+        };
+        for (const bound_case& c : cases) {
+            BOOST_TEST_CONTEXT(c.m_header << ": " << c.m_value)
+            {
+                reason why;
+                const time_point limit = clock_type::now() + 5s;
+                const auto connection = connect(m.m_io, {address_of(100), caller_port}, limit, why);
+                http::header<true> head;
+                head.method(http::verb::post);
+                head.target(c.m_path);
+                head.set(c.m_header, c.m_value);
+                message_writer(connection->m_stream)
+                    .write_head(head, body_framing::none, {}, limit, why);
+                response_reader reader(connection->m_stream, connection->m_buffer);
+                BOOST_REQUIRE_MESSAGE(reader.read_head({.m_first_byte = limit}, why), why.m_text);
+                BOOST_TEST(reader.head().result_int() == c.m_status);
+                BOOST_TEST(reader.head()[outcome_header] == "not-run");
+            }
+        }
+        BOOST_TEST(m.runs() == 0);
+    });
+}
+
+} // namespace pomelohead::forwarding
