Fleet tests of distribution on a manual clock: every failure of the issue as a case

Cause: the promises (never older, whole or not at all, conflict reported) stand or fall under cuts, herds, freezes and troubles of the source. Found by them, and mended: three unanswered pulls in a row on a lossy network discredited a truthful peer for 60 s; peers that can be heard but not reached kept a node from asking the source. Now pulls prefer peers that answered, silence counts 10 s and false content 60 s, and the source is asked where all holders are silent.

--- /dev/null
+++ b/pomelohead/distribution/fleet_test.cc
@@ -0,0 +1,582 @@
+// The failures that distribution is built for, on fleets of cores.
+#include "testing/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::distribution {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::fake_fleet;
+using testing::fake_source;
+using testing::source_mode;
+using addresses = std::vector<std::string>;
+
+constexpr std::size_t nodes_per_domain = 6;
+constexpr std::uint64_t seeds[] = {1, 2, 3};
+// The users' bound for a version to be in force everywhere.
+constexpr duration convergence_bound = 9s;
+
+// Three failure domains, with version 1 in force on all.
+struct three_domains {
+    explicit three_domains(std::uint64_t seed) : m_fleet(seed)
+    {
+        m_fleet.publish(1);
+        m_a = m_fleet.add_domain("dolgellau", nodes_per_domain);
+        m_b = m_fleet.add_domain("bala", nodes_per_domain);
+        m_c = m_fleet.add_domain("porthmadog", nodes_per_domain);
+        m_fleet.run(20s);
+        BOOST_REQUIRE(m_fleet.all_hold(1));
+    }
+
+    [[nodiscard]] addresses watchers_of(const addresses& domain)
+    {
+        addresses result;
+        for (const std::string& address : domain) {
+            if (m_fleet.node(address).reader().status().m_watching) {
+                result.push_back(address);
+            }
+        }
+        return result;
+    }
+
+    [[nodiscard]] addresses all_but(const addresses& some) const
+    {
+        addresses result;
+        for (const std::string& address : m_fleet.addresses()) {
+            if (std::ranges::find(some, address) == some.end()) {
+                result.push_back(address);
+            }
+        }
+        return result;
+    }
+
+    fake_fleet m_fleet;
+    addresses m_a;
+    addresses m_b;
+    addresses m_c;
+};
+
+// What happens, and the version that all nodes must hold in the end.
+struct fleet_case {
+    const char* m_name;
+    std::function<void(three_domains&)> m_events;
+    config::version_number m_final;
+};
+
+void check_cases(const std::vector<fleet_case>& cases)
+{
+    for (const fleet_case& c : cases) {
+        for (const std::uint64_t seed : seeds) {
+            BOOST_TEST_CONTEXT(c.m_name << ", seed " << seed)
+            {
+                three_domains d(seed);
+                c.m_events(d);
+                const auto took = d.m_fleet.run_until_all_hold(c.m_final, convergence_bound);
+                BOOST_TEST(took.has_value());
+                for (const std::string& broken : d.m_fleet.broken_invariants()) {
+                    BOOST_ERROR(broken);
+                }
+            }
+        }
+    }
+}
+
+void publish_on(fake_fleet& fleet, fake_source& source, const config::bundle& bundle)
+{
+    fleet.know(bundle);
+    source.publish(bundle);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_healthy_fleet_follows_with_few_watchers)
+{
+    for (const std::uint64_t seed : seeds) {
+        three_domains d(seed);
+        constexpr std::size_t domains = 3;
+        BOOST_TEST(d.m_fleet.watchers() == domains * core_options{}.m_watchers);
+        d.m_fleet.publish(2);
+        constexpr duration healthy_aim = 1s;
+        BOOST_TEST(d.m_fleet.run_until_all_hold(2, healthy_aim).has_value());
+        BOOST_TEST(d.m_fleet.broken_invariants().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(updates_that_cross_in_flight)
+{
+    check_cases({
+        {"manifest before its sections",
+         [](three_domains& d) {
+             const config::bundle next = testing::sample_bundle(2);
+             d.m_fleet.know(next);
+             d.m_fleet.source().put("manifest", next.m_manifest);
+             d.m_fleet.run(1s);
+             BOOST_TEST(d.m_fleet.all_hold(1));
+             d.m_fleet.source().publish(next);
+         },
+         2},
+        {"section with other bytes first",
+         [](three_domains& d) {
+             const config::bundle next = testing::sample_bundle(2);
+             d.m_fleet.know(next);
+             for (const auto& [hash, bytes] : next.m_sections) {
+                 d.m_fleet.source().put("sections/" + hash, "{\"routes\":[]}");
+             }
+             d.m_fleet.source().put("manifest", next.m_manifest);
+             d.m_fleet.run(1s);
+             BOOST_TEST(d.m_fleet.all_hold(1));
+             d.m_fleet.source().publish(next);
+         },
+         2},
+        {"N+2 before N+1",
+         [](three_domains& d) {
+             d.m_fleet.publish(3);
+             d.m_fleet.publish(2);
+         },
+         3},
+        {"the same version twice",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             d.m_fleet.run(500ms);
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"ten changes in a second",
+         [](three_domains& d) {
+             for (config::version_number version = 2; version <= 11; ++version) {
+                 d.m_fleet.publish(version);
+                 d.m_fleet.run(100ms);
+             }
+         },
+         11},
+        {"lossy, slow and reordering network",
+         [](three_domains& d) {
+             d.m_fleet.set_loss(0.2);
+             d.m_fleet.set_max_delay(150ms);
+             for (config::version_number version = 2; version <= 4; ++version) {
+                 d.m_fleet.publish(version);
+                 d.m_fleet.run(150ms);
+             }
+         },
+         4},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(troubles_of_the_source)
+{
+    check_cases({
+        {"down for long, then back with a newer version",
+         [](three_domains& d) {
+             d.m_fleet.source().set_mode(source_mode::down);
+             d.m_fleet.run(10min);
+             BOOST_TEST(d.m_fleet.all_hold(1));
+             d.m_fleet.publish(2);
+             d.m_fleet.source().set_mode(source_mode::up);
+             d.m_fleet.run(15s); // the readers' backoff limit
+         },
+         2},
+        {"back with an older version",
+         [](three_domains& d) {
+             d.m_fleet.publish(5);
+             d.m_fleet.run(5s);
+             d.m_fleet.publish(4);
+             d.m_fleet.run(60s);
+             bool reported = false;
+             for (const std::string& address : d.m_fleet.addresses()) {
+                 const auto& refusal = d.m_fleet.node(address).versions().gate().last_refusal();
+                 reported = reported || (refusal && refusal->m_why.m_code == reason_code::stale);
+             }
+             BOOST_TEST(reported);
+         },
+         5},
+        {"readers that see different versions",
+         [](three_domains& d) {
+             static_cast<void>(d.m_fleet.run_until_all_hold(1, 0s));
+             auto ahead = std::make_shared<fake_source>(d.m_fleet.timers());
+             publish_on(d.m_fleet, *ahead, testing::sample_bundle(2));
+             d.m_fleet.set_source(d.m_a, ahead.get());
+             d.m_fleet.run(30s);
+             BOOST_TEST(d.m_fleet.all_hold(2));
+             d.m_fleet.set_source(d.m_a, &d.m_fleet.source());
+             d.m_fleet.run(30s);
+         },
+         2},
+        {"slow",
+         [](three_domains& d) {
+             d.m_fleet.source().set_delay(1s);
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"accepts and never answers, then works",
+         [](three_domains& d) {
+             d.m_fleet.source().set_mode(source_mode::hanging);
+             d.m_fleet.run(2min);
+             d.m_fleet.source().set_mode(source_mode::up);
+             d.m_fleet.publish(2);
+             d.m_fleet.run(60s); // long polls and limits under way
+         },
+         2},
+        {"values cut short, then whole",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             d.m_fleet.source().set_mode(source_mode::cut_short);
+             d.m_fleet.run(30s);
+             d.m_fleet.source().set_mode(source_mode::up);
+             d.m_fleet.run(15s);
+         },
+         2},
+        {"manifest cut short, then whole",
+         [](three_domains& d) {
+             d.m_fleet.source().put("manifest", testing::sample_bundle(2).m_manifest.substr(0, 30));
+             d.m_fleet.run(5s);
+             BOOST_TEST(d.m_fleet.all_hold(1));
+             d.m_fleet.publish(2);
+         },
+         2},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(bad_versions)
+{
+    check_cases({
+        {"between two good ones",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             d.m_fleet.source().publish(testing::invalid_bundle(3));
+             d.m_fleet.publish(4);
+         },
+         4},
+        {"in force is the good one before it",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             d.m_fleet.run(2s);
+             d.m_fleet.source().publish(testing::invalid_bundle(3));
+             d.m_fleet.run(60s);
+         },
+         2},
+        {"the same version with other content",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             d.m_fleet.run(2s);
+             d.m_fleet.publish(2, "other");
+             d.m_fleet.run(10s);
+             bool reported = false;
+             const std::string hash =
+                 d.m_fleet.node(d.m_a[0]).versions().gate().held().m_manifest_hash;
+             for (const std::string& address : d.m_fleet.addresses()) {
+                 const auto& gate = d.m_fleet.node(address).versions().gate();
+                 BOOST_TEST(gate.held().m_manifest_hash == hash);
+                 reported = reported || (gate.last_refusal() && gate.last_refusal()->m_why.m_code ==
+                                                                    reason_code::conflict);
+             }
+             BOOST_TEST(reported);
+         },
+         2},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_first_version_is_refused_and_the_next_taken)
+{
+    for (const std::uint64_t seed : seeds) {
+        fake_fleet fleet(seed);
+        fleet.source().publish(testing::invalid_bundle(1));
+        fleet.add_domain("bala", nodes_per_domain);
+        fleet.run(15s);
+        BOOST_TEST(fleet.all_hold(0));
+        fleet.publish(2);
+        BOOST_TEST(fleet.run_until_all_hold(2, convergence_bound).has_value());
+        BOOST_TEST(fleet.broken_invariants().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(herds)
+{
+    const auto restart = [](three_domains& d, const addresses& nodes, duration pause) {
+        for (const std::string& address : nodes) {
+            d.m_fleet.kill(address);
+        }
+        d.m_fleet.run(pause);
+        for (const std::string& address : nodes) {
+            d.m_fleet.start(address);
+        }
+    };
+    const auto half = [](const three_domains& d) {
+        addresses nodes = d.m_fleet.addresses();
+        addresses result;
+        for (std::size_t i = 0; i < nodes.size(); i += 2) {
+            result.push_back(nodes[i]);
+        }
+        return result;
+    };
+    check_cases({
+        {"a failure domain dies at once and returns",
+         [&](three_domains& d) { restart(d, d.m_b, 30s); }, 1},
+        {"all nodes at once", [&](three_domains& d) { restart(d, d.m_fleet.addresses(), 1s); }, 1},
+        {"half the fleet while the source is down",
+         [&](three_domains& d) {
+             d.m_fleet.source().set_mode(source_mode::down);
+             d.m_fleet.run(5s);
+             restart(d, half(d), 10s);
+         },
+         1},
+        {"half the fleet, and the source is back with an older version",
+         [&](three_domains& d) {
+             d.m_fleet.publish(5);
+             d.m_fleet.run(5s);
+             d.m_fleet.publish(4);
+             d.m_fleet.run(5s);
+             restart(d, half(d), 10s);
+         },
+         5},
+        {"a domain returns while a version comes out",
+         [&](three_domains& d) {
+             restart(d, d.m_c, 3s);
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"twice in a row",
+         [&](three_domains& d) {
+             restart(d, d.m_a, 500ms);
+             d.m_fleet.run(1s);
+             restart(d, d.m_a, 500ms);
+         },
+         1},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_herd_makes_few_calls_on_the_source)
+{
+    for (const std::uint64_t seed : seeds) {
+        three_domains d(seed);
+        const addresses all = d.m_fleet.addresses();
+        for (const std::string& address : all) {
+            d.m_fleet.kill(address);
+        }
+        const std::size_t before = d.m_fleet.source().calls();
+        for (const std::string& address : all) {
+            d.m_fleet.start(address);
+        }
+        // Half of 2,000 calls a second for 500 nodes is 2 for each node.
+        constexpr std::size_t calls_per_node_and_s = 2;
+        constexpr int seconds = 10;
+        std::size_t last = before;
+        for (int second = 0; second < seconds; ++second) {
+            d.m_fleet.run(1s);
+            BOOST_TEST(d.m_fleet.source().calls() - last <= calls_per_node_and_s * all.size());
+            last = d.m_fleet.source().calls();
+        }
+        BOOST_TEST(d.m_fleet.all_hold(1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(frozen_nodes)
+{
+    check_cases({
+        {"one wakes after 60 s with old beliefs",
+         [](three_domains& d) {
+             d.m_fleet.freeze(d.m_a[3]);
+             d.m_fleet.publish(2);
+             d.m_fleet.run(60s);
+             BOOST_TEST(d.m_fleet.version_of(d.m_a[3]) == 1U);
+             d.m_fleet.thaw(d.m_a[3]);
+         },
+         2},
+        {"one freezes in the middle of applying",
+         [](three_domains& d) {
+             d.m_fleet.publish(2);
+             while (!d.m_fleet.node(d.m_b[2]).versions().is_busy() &&
+                    d.m_fleet.version_of(d.m_b[2]) == 1) {
+                 d.m_fleet.run(1ms);
+             }
+             d.m_fleet.freeze(d.m_b[2]);
+             d.m_fleet.publish(3);
+             d.m_fleet.run(60s);
+             d.m_fleet.thaw(d.m_b[2]);
+         },
+         3},
+        {"all watchers of a domain",
+         [](three_domains& d) {
+             const addresses watchers = d.watchers_of(d.m_a);
+             for (const std::string& address : watchers) {
+                 d.m_fleet.freeze(address);
+             }
+             d.m_fleet.publish(2);
+             d.m_fleet.run(60s);
+             for (const std::string& address : d.m_a) {
+                 const bool frozen = std::ranges::find(watchers, address) != watchers.end();
+                 BOOST_TEST(d.m_fleet.version_of(address) == (frozen ? 1U : 2U));
+             }
+             for (const std::string& address : watchers) {
+                 d.m_fleet.thaw(address);
+             }
+         },
+         2},
+        {"every node at once",
+         [](three_domains& d) {
+             for (const std::string& address : d.m_fleet.addresses()) {
+                 d.m_fleet.freeze(address);
+             }
+             d.m_fleet.publish(2);
+             d.m_fleet.run(60s);
+             for (const std::string& address : d.m_fleet.addresses()) {
+                 d.m_fleet.thaw(address);
+             }
+         },
+         2},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_woken_node_doubts_until_a_peer_answers)
+{
+    three_domains d(1);
+    d.m_fleet.freeze(d.m_a[3]);
+    d.m_fleet.run(60s);
+    d.m_fleet.thaw(d.m_a[3]);
+    const core& woken = d.m_fleet.node(d.m_a[3]);
+    BOOST_TEST(woken.peers().is_unconfirmed());
+    BOOST_TEST((woken.last_freeze() && *woken.last_freeze() >= 59s));
+    d.m_fleet.run(1s);
+    BOOST_TEST(!woken.peers().is_unconfirmed());
+}
+
+BOOST_AUTO_TEST_CASE(cuts)
+{
+    check_cases({
+        {"a domain cut from the source only is fed by the others",
+         [](three_domains& d) {
+             d.m_fleet.set_source(d.m_a, nullptr);
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"cut from the others only, it reads the source",
+         [](three_domains& d) {
+             d.m_fleet.cut(d.m_a, d.all_but(d.m_a));
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"cut from all it keeps what it has; the others heal first",
+         [](three_domains& d) {
+             d.m_fleet.set_source(d.m_a, nullptr);
+             d.m_fleet.cut(d.m_a, d.all_but(d.m_a));
+             d.m_fleet.publish(2);
+             d.m_fleet.run(5min);
+             for (const std::string& address : d.m_a) {
+                 BOOST_TEST(d.m_fleet.version_of(address) == 1U);
+             }
+             d.m_fleet.heal();
+         },
+         2},
+        {"cut from all; the source heals first",
+         [](three_domains& d) {
+             d.m_fleet.set_source(d.m_a, nullptr);
+             d.m_fleet.cut(d.m_a, d.all_but(d.m_a));
+             d.m_fleet.publish(2);
+             d.m_fleet.run(5min);
+             d.m_fleet.set_source(d.m_a, &d.m_fleet.source());
+             d.m_fleet.run(10s); // the readers' backoff
+         },
+         2},
+        {"two sides saw different versions",
+         [](three_domains& d) {
+             auto other = std::make_shared<fake_source>(d.m_fleet.timers());
+             publish_on(d.m_fleet, *other, testing::sample_bundle(3));
+             d.m_fleet.cut(d.m_a, d.all_but(d.m_a));
+             d.m_fleet.set_source(d.m_a, other.get());
+             d.m_fleet.publish(2);
+             d.m_fleet.run(2min);
+             BOOST_TEST(d.m_fleet.version_of(d.m_a[0]) == 3U);
+             BOOST_TEST(d.m_fleet.version_of(d.m_b[0]) == 2U);
+             d.m_fleet.set_source(d.m_a, &d.m_fleet.source());
+             d.m_fleet.heal();
+         },
+         3},
+        {"all domains from each other, one without the source, healed in turn",
+         [](three_domains& d) {
+             d.m_fleet.cut(d.m_a, d.m_b);
+             d.m_fleet.cut(d.m_b, d.m_c);
+             d.m_fleet.cut(d.m_a, d.m_c);
+             d.m_fleet.set_source(d.m_a, nullptr);
+             d.m_fleet.publish(2);
+             d.m_fleet.run(1min);
+             d.m_fleet.heal();
+             d.m_fleet.cut(d.m_a, d.m_c); // only by way of the third one
+         },
+         2},
+        {"one way: a domain hears the others but is not heard",
+         [](three_domains& d) {
+             d.m_fleet.cut_one_way(d.m_a, d.all_but(d.m_a));
+             d.m_fleet.publish(2);
+         },
+         2},
+        {"one way: a domain is heard but does not hear, and has no source",
+         [](three_domains& d) {
+             d.m_fleet.set_source(d.m_a, nullptr);
+             d.m_fleet.cut_one_way(d.all_but(d.m_a), d.m_a);
+             d.m_fleet.publish(2);
+             d.m_fleet.run(2min);
+             BOOST_TEST(d.m_fleet.version_of(d.m_a[0]) == 1U);
+             d.m_fleet.heal();
+         },
+         2},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(two_sides_with_other_content_under_one_version)
+{
+    for (const std::uint64_t seed : seeds) {
+        three_domains d(seed);
+        fake_source other(d.m_fleet.timers());
+        publish_on(d.m_fleet, other, testing::sample_bundle(2, "other"));
+        d.m_fleet.cut(d.m_a, d.all_but(d.m_a));
+        d.m_fleet.set_source(d.m_a, &other);
+        d.m_fleet.publish(2);
+        d.m_fleet.run(2min);
+        d.m_fleet.set_source(d.m_a, &d.m_fleet.source());
+        d.m_fleet.heal();
+        d.m_fleet.run(30s);
+        for (const std::string& address : d.m_a) {
+            const auto& gate = d.m_fleet.node(address).versions().gate();
+            BOOST_TEST((gate.last_refusal() &&
+                        gate.last_refusal()->m_why.m_code == reason_code::conflict));
+        }
+        d.m_fleet.publish(3);
+        BOOST_TEST(d.m_fleet.run_until_all_hold(3, convergence_bound).has_value());
+        BOOST_TEST(d.m_fleet.broken_invariants().empty());
+        d.m_fleet.set_source(d.m_a, nullptr);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_starting_node_holds_back_what_is_older_than_heard_of)
+{
+    for (const std::uint64_t seed : seeds) {
+        three_domains d(seed);
+        d.m_fleet.publish(2);
+        d.m_fleet.run(5s);
+        // All holders but one die, and that one does not deliver for a while.
+        fake_source old(d.m_fleet.timers());
+        publish_on(d.m_fleet, old, testing::sample_bundle(1));
+        d.m_fleet.set_source(d.m_fleet.addresses(), &old);
+        const std::string holder = d.m_a[0];
+        const addresses others = d.all_but({holder});
+        for (const std::string& address : others) {
+            d.m_fleet.kill(address);
+        }
+        d.m_fleet.start(d.m_a[1]);
+        BOOST_TEST(d.m_fleet.run_until_all_hold(2, convergence_bound).has_value());
+        BOOST_TEST(d.m_fleet.broken_invariants().empty());
+        d.m_fleet.set_source(d.m_fleet.addresses(), nullptr);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_alone_believes_the_source)
+{
+    fake_fleet fleet(1);
+    fleet.publish(7);
+    const addresses nodes = fleet.add_domain("bala", 3);
+    fleet.kill(nodes[1]);
+    fleet.kill(nodes[2]);
+    BOOST_TEST(fleet.run_until_all_hold(7, convergence_bound).has_value());
+}
+
+} // namespace pomelohead::distribution
--- a/pomelohead/distribution/replicator.cc
+++ b/pomelohead/distribution/replicator.cc
@@ -4,6 +4,7 @@
 #include "pomelohead/distribution/replicator.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pomelohead::distribution {
 namespace {
@@ -66,19 +67,21 @@
     }
     const version_id id = asked->second.m_id;
     m_requests.erase(asked);
+    m_unanswered.erase(address);
     if (value.m_bytes.empty()) {
         strike(address, now);
         return;
     }
     reason why;
     if (config::content_hash(value.m_bytes) != id.m_manifest_hash) {
-        discredit(address, "delivered other content than that hash", now);
+        discredit(address, "delivered other content than that hash", now + m_options.m_false_pause);
     }
     else if (const auto parsed = config::parse_manifest(value.m_bytes, why); !parsed) {
-        discredit(address, why.m_text, now);
+        discredit(address, why.m_text, now + m_options.m_false_pause);
     }
     else if (parsed->m_version != id.m_version) {
-        discredit(address, "its manifest is of version " + std::to_string(parsed->m_version), now);
+        discredit(address, "its manifest is of version " + std::to_string(parsed->m_version),
+                  now + m_options.m_false_pause);
     }
     else {
         m_parts.add(value.m_bytes, why);
@@ -95,6 +98,7 @@
     const version_id id = asked->second.m_id;
     const std::vector<std::string> missing = m_parts.missing(id);
     m_requests.erase(asked);
+    m_unanswered.erase(address);
     bool useful = false;
     for (std::string& bytes : values.m_sections) {
         if (std::ranges::find(missing, config::content_hash(bytes)) != missing.end()) {
@@ -215,6 +219,7 @@
     }
     for (const std::string& address : overdue) {
         m_requests.erase(address);
+        ++m_unanswered[address];
         strike(address, now);
     }
     progress(now);
@@ -257,11 +262,25 @@
         try_accept(id);
         return;
     }
-    if (!pull_from_peer(id, now)) {
+    // The source's calls are scarce: it is asked where the peers do not answer.
+    if (!pull_from_peer(id, now) || are_holders_silent(id)) {
         fetch_from_source(id, now);
     }
 }
 
+unsigned replicator::unanswered(const std::string& address) const
+{
+    const auto it = m_unanswered.find(address);
+    return it == m_unanswered.end() ? 0 : it->second;
+}
+
+bool replicator::are_holders_silent(const version_id& id) const
+{
+    return std::ranges::all_of(m_claims, [&](const auto& entry) {
+        return entry.second.m_id != id || unanswered(entry.first) > 0;
+    });
+}
+
 bool replicator::pull_from_peer(const version_id& id, time_point now)
 {
     for (const auto& [address, asked] : m_requests) {
@@ -270,8 +289,17 @@
         }
     }
     std::vector<std::string> holders;
+    unsigned fewest = std::numeric_limits<unsigned>::max();
     for (const auto& [address, held] : m_claims) {
-        if (held.m_id == id && !m_requests.contains(address)) {
+        if (held.m_id != id || m_requests.contains(address)) {
+            continue;
+        }
+        const unsigned failures = unanswered(address);
+        if (failures < fewest) {
+            fewest = failures;
+            holders.clear();
+        }
+        if (failures == fewest) {
             holders.push_back(address);
         }
     }
@@ -361,7 +389,7 @@
 {
     const auto it = m_claims.find(address);
     if (it != m_claims.end() && ++it->second.m_strikes >= m_options.m_max_strikes) {
-        discredit(address, "did not deliver it", now);
+        discredit(address, "did not deliver it", now + m_options.m_silent_pause);
     }
     progress(now);
 }
@@ -372,7 +400,7 @@
     return m_discredited.contains({address, id});
 }
 
-void replicator::discredit(const std::string& address, const std::string& text, time_point now)
+void replicator::discredit(const std::string& address, const std::string& text, time_point until)
 {
     const auto it = m_claims.find(address);
     if (it == m_claims.end()) {
@@ -380,7 +408,7 @@
     }
     const version_id id = it->second.m_id;
     m_claims.erase(it);
-    m_discredited[{address, id}] = now + m_options.m_discredited;
+    m_discredited[{address, id}] = until;
     if (const auto heard = m_heard.find(id); heard != m_heard.end()) {
         heard->second.erase(address);
         if (heard->second.empty()) {
--- a/pomelohead/distribution/replicator.h
+++ b/pomelohead/distribution/replicator.h
@@ -23,9 +23,10 @@
 
 /// Limits of a replicator.
 struct replicator_options {
-    milliseconds m_pull_limit{2'000};          ///< a pull not answered by then is made again
-    unsigned m_max_strikes = 3;                ///< unanswered pulls that discredit a claim
-    milliseconds m_discredited{60'000};        ///< a discredited claim is not heard for so long
+    milliseconds m_pull_limit{1'000};    ///< a pull not answered by then is made again
+    unsigned m_max_strikes = 5;          ///< fruitless pulls that discredit a claim
+    milliseconds m_false_pause{60'000};  ///< a claim with false content is not heard for so long
+    milliseconds m_silent_pause{10'000}; ///< one that was not delivered, for so long
     source::backoff_options m_section_retry{}; ///< between reads of sections from the source
 };
 
@@ -98,7 +99,9 @@
     void fetch_from_source(const version_id& id, time_point now);
     bool try_accept(const version_id& id);
     void strike(const std::string& address, time_point now);
-    void discredit(const std::string& address, const std::string& text, time_point now);
+    void discredit(const std::string& address, const std::string& text, time_point until);
+    [[nodiscard]] bool are_holders_silent(const version_id& id) const;
+    [[nodiscard]] unsigned unanswered(const std::string& address) const;
     bool is_discredited(const std::string& address, const version_id& id, time_point now);
     void forget(const version_id& id);
     void refuse(config::version_number version, reason why);
@@ -114,6 +117,7 @@
     std::map<std::string, claim> m_claims;               // by address, newer than in force
     std::map<version_id, std::set<std::string>> m_heard; // claimants of credited claims
     std::map<std::pair<std::string, version_id>, time_point> m_discredited; // until when
+    std::map<std::string, unsigned> m_unanswered;        // pulls in a row, by address
     std::map<std::string, request> m_requests;           // unanswered pulls by address
     std::map<version_id, source_fetch> m_source_fetches; // the source's versions
     std::set<std::string> m_reported;                    // hashes of reported conflicts
