--- a/pomelohead/lifecycle/lifecycle_test.cc
+++ b/pomelohead/lifecycle/lifecycle_test.cc
@@ -19,8 +19,8 @@
 {
     struct drain_case {
         drain_view m_view;
-        std::uint64_t m_incarnation;
-        const char* m_sources;
+        std::uint64_t m_incarnation = 0;
+        const char* m_sources = "";
     };
     const drain_case cases[] = {
         {{}, 7, ""},
--- a/pomelohead/outcome/outcome_test.cc
+++ b/pomelohead/outcome/outcome_test.cc
@@ -10,7 +10,7 @@
 {
     struct status_case {
         conclusion m_end;
-        std::uint16_t m_status;
+        std::uint16_t m_status = 0;
         std::optional<std::chrono::seconds> m_retry_after; ///< with a hint of 1.5 s
     };
     const status_case cases[] = {
--- a/pomelohead/outcome/ticket_test.cc
+++ b/pomelohead/outcome/ticket_test.cc
@@ -65,10 +65,10 @@
 BOOST_AUTO_TEST_CASE(a_serial_runs_once_and_is_remembered)
 {
     struct remembered_case {
-        const char* m_name;
+        const char* m_name = "";
         conclusion m_end;
-        std::size_t m_answer_bytes;
-        ticket_verdict m_verdict;
+        std::size_t m_answer_bytes = 0;
+        ticket_verdict m_verdict = ticket_verdict::refuse;
         conclusion m_resend;
     };
     const remembered_case cases[] = {
