Quarantine spreads as a rumor; a node that woke from a freeze holds new work

Cause: a caller resends a crashing request through any entry, so every owner has to hear of the crash; and a frozen owner's queue holds requests whose drain word and deadline are old.

Ruled out: carrying the marks on data answers only (a quiet node would never hear); holding until confirmed without a limit (a node cut off alone would never serve).

Change: a rumor message that each node passes on while it is new to it; the owner spreads its marks when they change and every 30 s; a gap above 1 s between looks at the clock makes the node recheck its queue and say that it drains, until others confirm or 2 s have passed. A request refused while its body came in asks for no slot (it would have kept one for good).

--- a/pomelohead/distribution/core.h
+++ b/pomelohead/distribution/core.h
@@ -55,7 +55,8 @@
         m_read;
     std::function<void(const std::string& address, const message&)> m_send;
     std::function<void(config::snapshot_ptr)> m_applied;
-    std::function<void(duration)> m_thaw; ///< the process was frozen for so long
+    std::function<void(duration)> m_thaw;                  ///< the process was frozen for so long
+    std::function<bool(const std::string& bytes)> m_rumor; ///< returns whether it was new
     log_hook m_log;
 };
 
@@ -77,6 +78,9 @@
 
     void announce_leaving();
 
+    /// Passes a rumor to all nodes, as far as they can be reached.
+    void spread(std::string bytes) { m_gossip.spread({std::move(bytes)}, {}); }
+
     /// The hello to send first on each connection.
     [[nodiscard]] hello greeting() const { return m_gossip.greeting(); }
 
@@ -128,6 +132,7 @@
     void handle(const std::string& from, const manifest_value& item);
     void handle(const std::string& from, const section_values& item);
     void handle(const std::string& from, const hosts_value& item);
+    void handle(const std::string& from, const rumor& item);
 
     core_options m_options;
     timer_service& m_timers;
--- a/pomelohead/distribution/core_messages.cc
+++ b/pomelohead/distribution/core_messages.cc
@@ -117,6 +117,13 @@
     answered_join(from);
 }
 
+void core::handle(const std::string& from, const rumor& item)
+{
+    if (m_hooks.m_rumor && m_hooks.m_rumor(item.m_bytes)) {
+        m_gossip.spread(item, from);
+    }
+}
+
 void core::handle(const std::string& from, const join_request&)
 {
     m_gossip.on_join_request(from);
--- a/pomelohead/distribution/distributor.cc
+++ b/pomelohead/distribution/distributor.cc
@@ -158,18 +158,20 @@
 
     core_hooks make_hooks()
     {
-        return {.m_read =
-                    [this](const source::read_request& request,
-                           std::function<void(source::read_answer)> done) {
-                        m_fibers.spawn([this, request, done = std::move(done)] {
-                            done(m_source.read(request));
-                        });
-                    },
-                .m_send = [this](const std::string& address,
-                                 const message& item) { m_peers.send(address, item); },
-                .m_applied = [this](const config::snapshot_ptr& config) { applied(config); },
-                .m_thaw = [this](duration frozen) { thawed(frozen); },
-                .m_log = make_log_hook()};
+        return {
+            .m_read =
+                [this](const source::read_request& request,
+                       std::function<void(source::read_answer)> done) {
+                    m_fibers.spawn(
+                        [this, request, done = std::move(done)] { done(m_source.read(request)); });
+                },
+            .m_send = [this](const std::string& address,
+                             const message& item) { m_peers.send(address, item); },
+            .m_applied = [this](const config::snapshot_ptr& config) { applied(config); },
+            .m_thaw = [this](duration frozen) { thawed(frozen); },
+            .m_rumor =
+                [this](const std::string& bytes) { return m_rumor_hook && m_rumor_hook(bytes); },
+            .m_log = make_log_hook()};
     }
 
     void applied(const config::snapshot_ptr& config)
@@ -196,6 +198,7 @@
     fiber_group m_fibers;
     std::vector<std::function<void(config::snapshot_ptr)>> m_applied_hooks;
     std::vector<std::function<void(duration)>> m_thaw_hooks;
+    std::function<bool(const std::string&)> m_rumor_hook;
     std::optional<time_point> m_applied_at;
 };
 
@@ -248,6 +251,17 @@
     m_impl->m_thaw_hooks.push_back(std::move(hook));
 }
 
+void distributor::spread(std::string bytes)
+{
+    m_impl->m_queue.post(
+        [this, bytes = std::move(bytes)]() mutable { m_impl->m_core.spread(std::move(bytes)); });
+}
+
+void distributor::on_rumor(std::function<bool(const std::string& bytes)> hook)
+{
+    m_impl->m_rumor_hook = std::move(hook);
+}
+
 std::vector<membership::member> distributor::members() const
 {
     return m_impl->m_core.members();
--- a/pomelohead/distribution/distributor.h
+++ b/pomelohead/distribution/distributor.h
@@ -81,6 +81,14 @@
     /// Calls `hook` with the length of each freeze of this process, on waking.
     void on_thaw(std::function<void(duration)> hook);
 
+    /// Sends `bytes`, at most max_rumor_bytes, to all nodes that can be reached. Each
+    /// passes it on if its own on_rumor hook says that it was new.
+    void spread(std::string bytes);
+
+    /// Calls `hook` with the bytes that another node spread. One hook; it returns
+    /// whether they were new.
+    void on_rumor(std::function<bool(const std::string& bytes)> hook);
+
     /// All other nodes that are known, and this one; sorted by address.
     [[nodiscard]] std::vector<membership::member> members() const;
 
--- a/pomelohead/distribution/gossip.cc
+++ b/pomelohead/distribution/gossip.cc
@@ -272,6 +272,19 @@
     }
 }
 
+void gossip::spread(const rumor& item, const std::string& except)
+{
+    if (m_superseded) {
+        return;
+    }
+    refresh_neighbours();
+    for (const std::string& address : m_neighbours.m_all) {
+        if (address != except) {
+            m_hooks.m_send(address, item);
+        }
+    }
+}
+
 void gossip::tell(const std::string& address, bool answer_wanted)
 {
     if (!m_superseded) {
--- a/pomelohead/distribution/gossip.h
+++ b/pomelohead/distribution/gossip.h
@@ -67,6 +67,9 @@
     /// Tells neighbours and some random members the own state now.
     void push();
 
+    /// Sends a rumor to all neighbours but `except`.
+    void spread(const rumor& item, const std::string& except);
+
     /// Sends a notice to one node.
     void tell(const std::string& address, bool answer_wanted);
 
--- a/pomelohead/distribution/messages.cc
+++ b/pomelohead/distribution/messages.cc
@@ -268,6 +268,11 @@
     return json::array({m.m_index, m.m_bytes});
 }
 
+json fields(const rumor& m)
+{
+    return json::array({m.m_bytes});
+}
+
 void read(array_reader& in, hello& m)
 {
     m.m_protocol = in.number();
@@ -342,6 +347,11 @@
     m.m_bytes = in.text(config::max_value_bytes);
 }
 
+void read(array_reader& in, rumor& m)
+{
+    m.m_bytes = in.text(max_rumor_bytes);
+}
+
 // Reads the message whose type has the number `wanted`, looking from `Index` on.
 template <std::size_t Index = 0>
 message read_type(std::uint64_t wanted, const json& value)
--- a/pomelohead/distribution/messages.h
+++ b/pomelohead/distribution/messages.h
@@ -31,6 +31,9 @@
 /// Members at most in one member_list.
 inline constexpr std::size_t max_listed_members = 2'000;
 
+/// Bytes at most in one rumor.
+inline constexpr std::size_t max_rumor_bytes = 8'192;
+
 /// Sections at most in one pull.
 inline constexpr std::size_t max_pulled_sections = 64;
 
@@ -142,8 +145,15 @@
     bool operator==(const hosts_value&) const = default;
 };
 
+/// News of another slice, passed on by every node to which it is new.
+struct rumor {
+    std::string m_bytes;
+
+    bool operator==(const rumor&) const = default;
+};
+
 using message = std::variant<hello, ping, ack, ping_request, indirect_ack, notice, join_request,
-                             member_list, pull, manifest_value, section_values, hosts_value>;
+                             member_list, pull, manifest_value, section_values, hosts_value, rumor>;
 
 /// The message's bytes.
 [[nodiscard]] std::string encode(const message& item);
--- a/pomelohead/distribution/messages_test.cc
+++ b/pomelohead/distribution/messages_test.cc
@@ -43,7 +43,8 @@
             pull{config::content_hash("a"), {config::content_hash("b")}, true},
             manifest_value{config::content_hash("a"), "{}"},
             section_values{{"one", "two"}},
-            hosts_value{9, "[]"}};
+            hosts_value{9, "[]"},
+            rumor{"news"}};
 }
 
 } // namespace
@@ -92,6 +93,8 @@
          reason_code::malformed},
         {"version without a hash", encode(ack{1, no_hash, {}}), reason_code::malformed},
         {"too many updates", encode(too_many), reason_code::malformed},
+        {"oversized rumor", encode(rumor{std::string(max_rumor_bytes + 1, 'x')}),
+         reason_code::malformed},
         {"oversized", std::string(max_message_bytes + 1, 'x'), reason_code::too_large},
     };
     for (const bytes_case& c : cases) {
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -184,7 +184,7 @@
     const bool refused =
         outcome::parse_outcome(m_reader->head()[outcome_header]) == outcome::outcome::not_run;
     const bool reusable = whole && m_state == body_state::end && m_reader->keep_alive() &&
-                          !m_abandoned && (!m_request.m_streamed || refused == false) &&
+                          !m_abandoned && (!m_request.m_streamed || !refused) &&
                           m_request.m_exchange.request().done();
     if (reusable) {
         m_service.pool(m_address).give_back(std::move(m_connection));
--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -149,7 +149,8 @@
                   {.m_config = [config] { return config; },
                    .m_is_draining = [this](const std::string&) { return m_draining; },
                    .m_request_began = [] {},
-                   .m_request_ended = [] {}})
+                   .m_request_ended = [] {},
+                   .m_quarantine_changed = [] {}})
     {
         m_owner.apply(*config);
         reason why;
--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -35,7 +35,7 @@
                 {reason_code::refused, "the target runs one request apart from others"},
                 apart_retry_after};
     }
-    const admission::decision decision = m_queue.offer(facts, m_timers.now());
+    admission::decision decision = m_queue.offer(facts, m_timers.now());
     if (decision.m_verdict == admission::verdict::queued) {
         m_waiting.emplace(facts.m_id, std::move(hooks));
     }
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -70,6 +70,13 @@
     m_watch.reset();
 }
 
+void owner_exchange::recheck()
+{
+    if (m_target) {
+        feed({.m_kind = owner_event_kind::facts_changed, .m_facts = facts()});
+    }
+}
+
 bool owner_exchange::read_head_fields()
 {
     const http::header<true>& head = m_exchange.request().head();
@@ -199,7 +206,9 @@
 {
     if (const auto why = outcome::refusal(facts())) {
         feed({.m_kind = owner_event_kind::refused, .m_cause = *why});
-        return;
+    }
+    if (m_state.m_phase == owner_phase::finished) {
+        return; // refused now or while the body came in: no slot is asked for
     }
     const admission::decision decision = m_target->offer(
         m_facts, m_apart,
@@ -280,6 +289,7 @@
                                                std::to_string(m_service.m_options.m_incarnation) +
                                                "/" + std::to_string(m_epoch),
                                            in_flight, now);
+            m_service.m_hooks.m_quarantine_changed();
         }
         return;
     }
@@ -484,7 +494,7 @@
         answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
     }
     if (m_target->runs_alone(m_id)) {
-        m_service.m_quarantine.ran_well(m_fingerprint, m_service.m_timers.now());
+        clear_suspicion();
     }
     m_answer = std::make_shared<const outcome::kept_answer>(std::move(answer));
     keep_connection();
@@ -492,6 +502,15 @@
     feed({.m_kind = owner_event_kind::answer_whole});
 }
 
+void owner_exchange::clear_suspicion()
+{
+    const time_point now = m_service.m_timers.now();
+    if (m_service.m_quarantine.check(m_fingerprint, now) != outcome::quarantine_verdict::run) {
+        m_service.m_quarantine.ran_well(m_fingerprint, now);
+        m_service.m_hooks.m_quarantine_changed();
+    }
+}
+
 void owner_exchange::stream_answer(const http::header<false>& target_head, std::string first_piece)
 {
     http::header<false> head = target_head;
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -25,6 +25,9 @@
     /// Returns when the answer has been sent or the connection is to be closed.
     void run();
 
+    /// Judges the request again, if it has not been handed over.
+    void recheck();
+
 private:
     bool read_head_fields();
     bool find_target();
@@ -44,6 +47,7 @@
     bool send_rest_of_body(message_writer& writer);
     void read_answer();
     void take_whole_answer(const http::header<false>& head, std::string body);
+    void clear_suspicion();
     void stream_answer(const http::header<false>& head, std::string first_piece);
     void target_failed(const reason& why, outcome::cause otherwise);
     void keep_connection();
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -61,11 +61,22 @@
         issue_ticket(exchange);
     }
     else {
-        owner_exchange(*this, exchange).run();
+        owner_exchange request(*this, exchange);
+        m_exchanges.insert(&request);
+        request.run();
+        m_exchanges.erase(&request);
     }
     m_hooks.m_request_ended();
 }
 
+void owner_service::recheck()
+{
+    // Judging one request may let another one start, but ends none of the set.
+    for (owner_exchange* request : m_exchanges) {
+        request->recheck();
+    }
+}
+
 void owner_service::issue_ticket(server_exchange& exchange)
 {
     const std::string name =
--- a/pomelohead/forwarding/owner_service.h
+++ b/pomelohead/forwarding/owner_service.h
@@ -16,8 +16,12 @@
 #include "pomelohead/outcome/ticket.h"
 #include "pomelohead/telemetry/metrics.h"
 
+#include <set>
+
 namespace pomelohead::forwarding {
 
+class owner_exchange;
+
 /// Settings of the owner side.
 struct owner_options {
     endpoint m_listen;               ///< the owner port
@@ -35,6 +39,7 @@
     std::function<bool(const std::string& target)> m_is_draining; ///< by any source of word
     std::function<void()> m_request_began;
     std::function<void()> m_request_ended;
+    std::function<void()> m_quarantine_changed; ///< by this owner's own word
 };
 
 /// All owned targets of one node and the listener for them.
@@ -49,6 +54,9 @@
     /// Follows a new configuration.
     void apply(const config::snapshot& config);
 
+    /// Judges all requests that have not been handed over again, as after a freeze.
+    void recheck();
+
     [[nodiscard]] http_server& server() { return m_server; }
     [[nodiscard]] outcome::quarantine& quarantine() { return m_quarantine; }
     [[nodiscard]] const std::map<std::string, std::shared_ptr<owned_target>>& targets() const
@@ -72,6 +80,7 @@
     outcome::ticket_ledger m_ledger;
     std::map<std::uint64_t, std::shared_ptr<fiber_event>> m_ticket_ends; ///< by running serial
     std::map<std::string, std::shared_ptr<owned_target>> m_targets;      ///< by name
+    std::set<owner_exchange*> m_exchanges;                               ///< under way
     http_server m_server;
 };
 
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -1,12 +1,23 @@
 #include "pomelohead/node/node.h"
 
 #include "pomelohead/node/admin_pages.h"
+#include "pomelohead/node/quarantine_news.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::node {
 namespace {
 
-constexpr duration member_refresh_period = std::chrono::milliseconds(200);
+constexpr duration refresh_period = std::chrono::milliseconds(200);
+
+// A gap between refreshes above this is a freeze of the process.
+constexpr duration freeze_limit = std::chrono::milliseconds(1000);
+
+// How long a node that woke from a freeze waits for others to confirm what it
+// believes before it goes on alone.
+constexpr duration max_hold = std::chrono::seconds(2);
+
+// Nodes that start later learn of crashes within this time.
+constexpr duration quarantine_news_period = std::chrono::seconds(30);
 
 // Orders the starts of one host's node. Hosts keep nothing, so the wall clock is
 // all that outlives a process; safety does not rest on it (outcome/ticket.h).
@@ -26,7 +37,8 @@
 
 node::node(settings::node_settings settings, boost::asio::io_context& io)
     : m_settings(std::move(settings)), m_timers(io), m_incarnation(make_incarnation()),
-      m_started(m_timers.now()), m_distributor(distribution_options_of(m_settings), m_timers, io),
+      m_started(m_timers.now()), m_freeze(freeze_limit, m_started),
+      m_distributor(distribution_options_of(m_settings), m_timers, io),
       m_members([this] { return m_distributor.members(); }),
       m_shutdown(m_timers, shutdown_options_of(m_settings),
                  [this](lifecycle::shutdown_phase phase) { on_phase(phase); }),
@@ -34,7 +46,8 @@
               {.m_config = [this] { return m_distributor.current(); },
                .m_is_draining = [this](const std::string& target) { return is_draining(target); },
                .m_request_began = [this] { m_shutdown.request_began(); },
-               .m_request_ended = [this] { m_shutdown.request_ended(); }}),
+               .m_request_ended = [this] { m_shutdown.request_ended(); },
+               .m_quarantine_changed = [this] { spread_quarantine(); }}),
       m_entry(
           io, m_timers, m_stats, entry_options_of(m_settings, m_incarnation),
           {.m_config = [this] { return m_distributor.current(); },
@@ -68,12 +81,15 @@
 
 bool node::start(reason& why)
 {
+    m_distributor.on_rumor(
+        [this](const std::string& bytes) { return take_quarantine_news(bytes); });
     m_distributor.on_applied([this](config::snapshot_ptr now) { on_configuration(now); });
     if (!m_admin.start(why) || !m_owner.start(why) || !m_distributor.start(why) ||
         !m_entry.start(why)) {
         return false;
     }
-    m_refresh = m_timers.every(member_refresh_period, [this] { m_members.refresh(); });
+    m_refresh = m_timers.every(refresh_period, [this] { refresh(); });
+    m_news = m_timers.every(quarantine_news_period, [this] { spread_quarantine(); });
     log_event(log_level::info, "started",
               {{"address", m_settings.m_listen.m_address}, {"incarnation", m_incarnation}});
     return true;
@@ -93,20 +109,64 @@
     return m_members.is_known(address) || (config && config->has_host(address));
 }
 
+void node::refresh()
+{
+    notice_freeze();
+    m_members.refresh();
+    if (m_hold_until && (m_timers.now() >= *m_hold_until || m_distributor.status().m_confirmed)) {
+        m_hold_until.reset();
+    }
+}
+
+// Called before every decision that rests on what may be old, not only by the
+// timer: after a freeze, requests may be looked at before timers are.
+void node::notice_freeze()
+{
+    const std::optional<duration> frozen = m_freeze.observe(m_timers.now());
+    if (!frozen) {
+        return;
+    }
+    m_hold_until = m_timers.now() + max_hold;
+    m_stats.add("freezes_total");
+    log_event(log_level::warning, "woke_from_freeze",
+              {{"seconds", std::chrono::duration<double>(*frozen).count()}});
+    m_owner.recheck();
+}
+
+void node::spread_quarantine()
+{
+    const auto marks = m_owner.quarantine().digest(m_timers.now(), max_quarantine_news);
+    if (!marks.empty()) {
+        m_distributor.spread(encode_quarantine_news(marks));
+    }
+}
+
+bool node::take_quarantine_news(const std::string& bytes)
+{
+    reason why;
+    const auto marks = decode_quarantine_news(bytes, why);
+    if (!marks) {
+        log_event(log_level::warning, "bad_quarantine_news", {{"why", why.m_text}});
+        return false;
+    }
+    return m_owner.quarantine().merge(*marks, m_timers.now());
+}
+
 lifecycle::drain_view node::drain_view_of(const std::string& target) const
 {
     const config::snapshot_ptr config = m_distributor.current();
     lifecycle::drain_view view;
     view.m_in_configuration = config && config->is_draining(target);
     view.m_in_host_list = m_members.is_leaving(m_settings.m_listen.m_address);
-    if (m_drained_by_operator || !lifecycle::accepts_work(m_shutdown.phase())) {
+    if (m_drained_by_operator || m_hold_until || !lifecycle::accepts_work(m_shutdown.phase())) {
         view.m_owner_left = m_incarnation;
     }
     return view;
 }
 
-bool node::is_draining(const std::string& target) const
+bool node::is_draining(const std::string& target)
 {
+    notice_freeze();
     return lifecycle::is_draining(drain_view_of(target), m_incarnation);
 }
 
@@ -145,6 +205,7 @@
     m_entry.server().wait();
     m_owner.server().wait();
     m_refresh.cancel();
+    m_news.cancel();
     m_distributor.stop();
     m_admin.close_listener();
     m_admin.abort();
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "pomelohead/lifecycle/drain.h"
+#include "pomelohead/lifecycle/freeze.h"
 #include "pomelohead/node/member_view.h"
 #include "pomelohead/node/node_options.h"
 #include "pomelohead/runtime/asio_timer_service.h"
@@ -42,7 +43,7 @@
     void wait();
 
     /// Whether the target gets no new work, by any source of word.
-    [[nodiscard]] bool is_draining(const std::string& target) const;
+    [[nodiscard]] bool is_draining(const std::string& target);
     /// Which sources say so; empty where none does.
     [[nodiscard]] std::string drain_sources(const std::string& target) const;
 
@@ -60,6 +61,10 @@
     void on_phase(lifecycle::shutdown_phase phase);
     void on_configuration(const config::snapshot_ptr& config);
     void add_gauges();
+    void refresh();
+    void notice_freeze();
+    void spread_quarantine();
+    bool take_quarantine_news(const std::string& bytes);
     [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
 
@@ -69,6 +74,9 @@
     std::uint64_t m_incarnation;
     time_point m_started;
     bool m_drained_by_operator = false;
+    lifecycle::freeze_detector m_freeze;
+    std::optional<time_point>
+        m_hold_until; ///< after a freeze: no new work, unless confirmed before
     distribution::distributor m_distributor;
     member_view m_members;
     lifecycle::graceful_shutdown m_shutdown;
@@ -77,6 +85,7 @@
     forwarding::http_server m_admin;
     fiber_event m_stopped;
     timer_subscription m_refresh;
+    timer_subscription m_news;
 };
 
 } // namespace pomelohead::node
