Owners tell each other of crashes before they answer

Cause: a caller that sends its crashing request again through another node killed one target for each owner that had not heard; only an entry's own retries carried the suspicion. Ruled out: membership gossip alone (its period is longer than a caller's resend); telling all nodes (only the service's owners can be given the request). Clearing and release are told too; streamed answers clear as well.

--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -280,6 +280,7 @@
                                                std::to_string(m_service.m_options.m_incarnation) +
                                                "/" + std::to_string(m_epoch),
                                            in_flight, now);
+            m_service.m_spread.changed(m_target->target().m_service);
         }
         return;
     }
@@ -307,6 +308,10 @@
         write_request();
         return;
     case owner_action_kind::answer:
+        // The caller may send it again as soon as it is answered.
+        if (action.m_end.m_cause == cause::target_crashed) {
+            m_service.m_spread.tell(m_target->target().m_service);
+        }
         if (!m_state.m_entry_gone) {
             answer(action.m_end);
         }
@@ -483,9 +488,7 @@
     for (const auto& field : fields) {
         answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
     }
-    if (m_target->runs_alone(m_id)) {
-        m_service.m_quarantine.ran_well(m_fingerprint, m_service.m_timers.now());
-    }
+    clear_suspicion();
     m_answer = std::make_shared<const outcome::kept_answer>(std::move(answer));
     keep_connection();
     m_answered = true;
@@ -517,6 +520,7 @@
         }
     }
     if (state == body_state::end && m_state.m_phase != owner_phase::finished) {
+        clear_suspicion();
         keep_connection();
         m_answered = true;
         feed({.m_kind = owner_event_kind::answer_whole});
@@ -524,6 +528,14 @@
     }
 }
 
+void owner_exchange::clear_suspicion()
+{
+    if (m_target->runs_alone(m_id) &&
+        m_service.m_quarantine.ran_well(m_fingerprint, m_service.m_timers.now())) {
+        m_service.m_spread.tell_later(m_target->target().m_service);
+    }
+}
+
 void owner_exchange::refuse(cause why, milliseconds retry_hint)
 {
     m_retry_hint = retry_hint;
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -47,6 +47,7 @@
     void stream_answer(const http::header<false>& head, std::string first_piece);
     void target_failed(const reason& why, outcome::cause otherwise);
     void keep_connection();
+    void clear_suspicion();
 
     void refuse(outcome::cause why, milliseconds retry_hint = {});
     void answer(const outcome::conclusion& end);
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -24,12 +24,31 @@
     : m_io(io), m_timers(timers), m_stats(stats), m_options(std::move(options)),
       m_hooks(std::move(hooks)), m_body_budget(m_options.m_kept_bytes),
       m_quarantine(m_options.m_quarantine),
+      m_spread(io, timers, {.m_self = m_options.m_listen, .m_seed = m_options.m_incarnation},
+               m_hooks.m_config, m_quarantine),
       m_ledger(m_options.m_tickets, m_options.m_listen.m_address, m_options.m_incarnation,
                random_number),
       m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
 {
 }
 
+bool owner_service::start(reason& why)
+{
+    m_spread.start();
+    return m_server.start(why);
+}
+
+bool owner_service::release(const std::string& fingerprint)
+{
+    const bool released = m_quarantine.release(fingerprint, m_timers.now());
+    if (released) {
+        for (const auto& [name, target] : m_targets) {
+            m_spread.tell_later(target->target().m_service);
+        }
+    }
+    return released;
+}
+
 void owner_service::apply(const config::snapshot& config)
 {
     std::map<std::string, std::shared_ptr<owned_target>> kept;
@@ -60,6 +79,9 @@
     if (path.starts_with("/.pomelohead/ticket")) {
         issue_ticket(exchange);
     }
+    else if (path == crash_marks_path) {
+        m_spread.receive(exchange);
+    }
     else {
         owner_exchange(*this, exchange).run();
     }
--- a/pomelohead/forwarding/owner_service.h
+++ b/pomelohead/forwarding/owner_service.h
@@ -11,6 +11,7 @@
 //     if (!owner.start(why)) ...
 #pragma once
 
+#include "pomelohead/forwarding/crash_spread.h"
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/forwarding/owned_target.h"
 #include "pomelohead/outcome/ticket.h"
@@ -44,13 +45,18 @@
     owner_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
                   owner_options options, owner_hooks hooks);
 
-    bool start(reason& why) { return m_server.start(why); }
+    bool start(reason& why);
 
     /// Follows a new configuration.
     void apply(const config::snapshot& config);
 
     [[nodiscard]] http_server& server() { return m_server; }
-    [[nodiscard]] outcome::quarantine& quarantine() { return m_quarantine; }
+    [[nodiscard]] const outcome::quarantine& quarantine() const { return m_quarantine; }
+
+    /// The operator's release of a fingerprint; other owners are told. False if
+    /// nothing is held against it.
+    bool release(const std::string& fingerprint);
+
     [[nodiscard]] const std::map<std::string, std::shared_ptr<owned_target>>& targets() const
     {
         return m_targets;
@@ -69,6 +75,7 @@
     owner_hooks m_hooks;
     body_budget m_body_budget;
     outcome::quarantine m_quarantine;
+    crash_spread m_spread;
     outcome::ticket_ledger m_ledger;
     std::map<std::uint64_t, std::shared_ptr<fiber_event>> m_ticket_ends; ///< by running serial
     std::map<std::string, std::shared_ptr<owned_target>> m_targets;      ///< by name
--- a/pomelohead/node/admin_pages.cc
+++ b/pomelohead/node/admin_pages.cc
@@ -288,7 +288,7 @@
     }
     else if (path == "/quarantine/release") {
         const auto fingerprint = forwarding::query_parameter(target, "fingerprint").value_or("");
-        const bool released = n.owner().quarantine().release(fingerprint, n.timers().now());
+        const bool released = n.owner().release(fingerprint);
         send_json(exchange, {{"released", released}}, released ? 200 : 404);
     }
     else if (path == "/testing") {
--- a/pomelohead/outcome/quarantine.cc
+++ b/pomelohead/outcome/quarantine.cc
@@ -94,9 +94,9 @@
     drop_oldest();
 }
 
-void quarantine::ran_well(const std::string& fingerprint, time_point now)
+bool quarantine::ran_well(const std::string& fingerprint, time_point now)
 {
-    release(fingerprint, now);
+    return release(fingerprint, now);
 }
 
 bool quarantine::release(const std::string& fingerprint, time_point now)
--- a/pomelohead/outcome/quarantine.h
+++ b/pomelohead/outcome/quarantine.h
@@ -89,8 +89,8 @@
                  time_point now);
 
     /// A request of this fingerprint was answered whole by a target that ran
-    /// nothing else: its marks so far are cleared.
-    void ran_well(const std::string& fingerprint, time_point now);
+    /// nothing else: its marks so far are cleared. False if there are none.
+    bool ran_well(const std::string& fingerprint, time_point now);
 
     /// The operator's release: clears all marks. False if there are none.
     bool release(const std::string& fingerprint, time_point now);
