--- a/testing/target_standin_main.cc
+++ b/testing/target_standin_main.cc
@@ -433,8 +433,7 @@
     options.m_cold_length = std::chrono::milliseconds(cold_ms);
     options.m_report_lag = std::chrono::milliseconds(report_lag_ms);
     try {
-        boost::asio::io_context io;
-        pomelohead::install_fiber_scheduler(io);
+        boost::asio::io_context& io = pomelohead::install_fiber_scheduler();
         pomelohead::testing::target target(
             io, options, address, port, std::chrono::milliseconds(connection_cost_ms), runs_path);
         target.run();
