--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -289,7 +289,7 @@
                                                std::to_string(m_service.m_options.m_incarnation) +
                                                "/" + std::to_string(m_epoch),
                                            in_flight, now);
-            m_service.m_hooks.m_quarantine_changed();
+            m_service.m_spread.changed(m_target->target().m_service);
         }
         return;
     }
@@ -317,6 +317,10 @@
         write_request();
         return;
     case owner_action_kind::answer:
+        // The caller may send it again as soon as it is answered.
+        if (action.m_end.m_cause == cause::target_crashed) {
+            m_service.m_spread.tell(m_target->target().m_service);
+        }
         if (!m_state.m_entry_gone) {
             answer(action.m_end);
         }
@@ -493,24 +497,13 @@
     for (const auto& field : fields) {
         answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
     }
-    if (m_target->runs_alone(m_id)) {
-        clear_suspicion();
-    }
+    clear_suspicion();
     m_answer = std::make_shared<const outcome::kept_answer>(std::move(answer));
     keep_connection();
     m_answered = true;
     feed({.m_kind = owner_event_kind::answer_whole});
 }
 
-void owner_exchange::clear_suspicion()
-{
-    const time_point now = m_service.m_timers.now();
-    if (m_service.m_quarantine.check(m_fingerprint, now) != outcome::quarantine_verdict::run) {
-        m_service.m_quarantine.ran_well(m_fingerprint, now);
-        m_service.m_hooks.m_quarantine_changed();
-    }
-}
-
 void owner_exchange::stream_answer(const http::header<false>& target_head, std::string first_piece)
 {
     http::header<false> head = target_head;
@@ -536,6 +529,7 @@
         }
     }
     if (state == body_state::end && m_state.m_phase != owner_phase::finished) {
+        clear_suspicion();
         keep_connection();
         m_answered = true;
         feed({.m_kind = owner_event_kind::answer_whole});
@@ -543,6 +537,14 @@
     }
 }
 
+void owner_exchange::clear_suspicion()
+{
+    if (m_target->runs_alone(m_id) &&
+        m_service.m_quarantine.ran_well(m_fingerprint, m_service.m_timers.now())) {
+        m_service.m_spread.tell_later(m_target->target().m_service);
+    }
+}
+
 void owner_exchange::refuse(cause why, milliseconds retry_hint)
 {
     m_retry_hint = retry_hint;
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -47,10 +47,10 @@
     bool send_rest_of_body(message_writer& writer);
     void read_answer();
     void take_whole_answer(const http::header<false>& head, std::string body);
-    void clear_suspicion();
     void stream_answer(const http::header<false>& head, std::string first_piece);
     void target_failed(const reason& why, outcome::cause otherwise);
     void keep_connection();
+    void clear_suspicion();
 
     void refuse(outcome::cause why, milliseconds retry_hint = {});
     void answer(const outcome::conclusion& end);
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -1,7 +1,6 @@
 #include "pomelohead/node/node.h"
 
 #include "pomelohead/node/admin_pages.h"
-#include "pomelohead/node/quarantine_news.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::node {
@@ -16,9 +15,6 @@
 // believes before it goes on alone.
 constexpr duration max_hold = std::chrono::seconds(2);
 
-// Nodes that start later learn of crashes within this time.
-constexpr duration quarantine_news_period = std::chrono::seconds(30);
-
 // Orders the starts of one host's node. Hosts keep nothing, so the wall clock is
 // all that outlives a process; safety does not rest on it (outcome/ticket.h).
 std::uint64_t make_incarnation()
@@ -46,8 +42,7 @@
               {.m_config = [this] { return m_distributor.current(); },
                .m_is_draining = [this](const std::string& target) { return is_draining(target); },
                .m_request_began = [this] { m_shutdown.request_began(); },
-               .m_request_ended = [this] { m_shutdown.request_ended(); },
-               .m_quarantine_changed = [this] { spread_quarantine(); }}),
+               .m_request_ended = [this] { m_shutdown.request_ended(); }}),
       m_entry(
           io, m_timers, m_stats, entry_options_of(m_settings, m_incarnation),
           {.m_config = [this] { return m_distributor.current(); },
@@ -81,15 +76,12 @@
 
 bool node::start(reason& why)
 {
-    m_distributor.on_rumor(
-        [this](const std::string& bytes) { return take_quarantine_news(bytes); });
     m_distributor.on_applied([this](config::snapshot_ptr now) { on_configuration(now); });
     if (!m_admin.start(why) || !m_owner.start(why) || !m_distributor.start(why) ||
         !m_entry.start(why)) {
         return false;
     }
     m_refresh = m_timers.every(refresh_period, [this] { refresh(); });
-    m_news = m_timers.every(quarantine_news_period, [this] { spread_quarantine(); });
     log_event(log_level::info, "started",
               {{"address", m_settings.m_listen.m_address}, {"incarnation", m_incarnation}});
     return true;
@@ -133,25 +125,6 @@
     m_owner.recheck();
 }
 
-void node::spread_quarantine()
-{
-    const auto marks = m_owner.quarantine().digest(m_timers.now(), max_quarantine_news);
-    if (!marks.empty()) {
-        m_distributor.spread(encode_quarantine_news(marks));
-    }
-}
-
-bool node::take_quarantine_news(const std::string& bytes)
-{
-    reason why;
-    const auto marks = decode_quarantine_news(bytes, why);
-    if (!marks) {
-        log_event(log_level::warning, "bad_quarantine_news", {{"why", why.m_text}});
-        return false;
-    }
-    return m_owner.quarantine().merge(*marks, m_timers.now());
-}
-
 lifecycle::drain_view node::drain_view_of(const std::string& target) const
 {
     const config::snapshot_ptr config = m_distributor.current();
@@ -205,7 +178,6 @@
     m_entry.server().wait();
     m_owner.server().wait();
     m_refresh.cancel();
-    m_news.cancel();
     m_distributor.stop();
     m_admin.close_listener();
     m_admin.abort();
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -63,8 +63,6 @@
     void add_gauges();
     void refresh();
     void notice_freeze();
-    void spread_quarantine();
-    bool take_quarantine_news(const std::string& bytes);
     [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
 
@@ -85,7 +83,6 @@
     forwarding::http_server m_admin;
     fiber_event m_stopped;
     timer_subscription m_refresh;
-    timer_subscription m_news;
 };
 
 } // namespace pomelohead::node
