--- a/pomelohead/distribution/replicator.cc
+++ b/pomelohead/distribution/replicator.cc
@@ -4,7 +4,6 @@
 #include "pomelohead/distribution/replicator.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace pomelohead::distribution {
 namespace {
@@ -12,9 +11,6 @@
 // Section bytes in one answer, unless a single section is larger.
 constexpr std::size_t max_answer_bytes = 256'000;
 
-// Claims that hold back a first version; the highest are kept.
-constexpr std::size_t max_heard_versions = 8;
-
 // Contents reported as conflicts that are remembered.
 constexpr std::size_t max_reported = 64;
 
@@ -28,33 +24,23 @@
 } // namespace
 
 replicator::replicator(replicator_options options, replicator_hooks hooks, std::uint64_t seed)
-    : m_options(options), m_hooks(std::move(hooks)), m_random(seed)
+    : m_options(options), m_hooks(std::move(hooks)), m_random(seed), m_claims(options.m_claims)
 {
 }
 
 bool replicator::on_claim(const std::string& address, const version_id& id, time_point now)
 {
     const judgement verdict = m_gate.judge(id);
-    if (verdict == judgement::stale) {
-        m_claims.erase(address);
-        return true;
-    }
     if (verdict == judgement::conflict) {
         report_conflict(id, address);
     }
-    if (verdict != judgement::take || id.m_version == 0 || is_discredited(address, id, now)) {
-        m_claims.erase(address);
-        return false;
+    if (verdict != judgement::take || id.m_version == 0) {
+        m_claims.withdraw(address);
+        return verdict == judgement::stale;
     }
-    claim& held = m_claims[address];
-    if (held.m_id != id) {
-        held = {id, 0};
-        m_heard[id].insert(address);
-        if (m_heard.size() > max_heard_versions) {
-            m_heard.erase(m_heard.begin());
-        }
+    if (m_claims.add(address, id, now)) {
+        progress(id, now);
     }
-    progress(id, now);
     return false;
 }
 
@@ -67,21 +53,20 @@
     }
     const version_id id = asked->second.m_id;
     m_requests.erase(asked);
-    m_unanswered.erase(address);
+    m_claims.answered(address);
     if (value.m_bytes.empty()) {
         strike(address, now);
         return;
     }
     reason why;
     if (config::content_hash(value.m_bytes) != id.m_manifest_hash) {
-        discredit(address, "delivered other content than that hash", now + m_options.m_false_pause);
+        discredit(address, "delivered other content than that hash", now);
     }
     else if (const auto parsed = config::parse_manifest(value.m_bytes, why); !parsed) {
-        discredit(address, why.m_text, now + m_options.m_false_pause);
+        discredit(address, why.m_text, now);
     }
     else if (parsed->m_version != id.m_version) {
-        discredit(address, "its manifest is of version " + std::to_string(parsed->m_version),
-                  now + m_options.m_false_pause);
+        discredit(address, "its manifest is of version " + std::to_string(parsed->m_version), now);
     }
     else {
         m_parts.add(value.m_bytes, why);
@@ -98,7 +83,7 @@
     const version_id id = asked->second.m_id;
     const std::vector<std::string> missing = m_parts.missing(id);
     m_requests.erase(asked);
-    m_unanswered.erase(address);
+    m_claims.answered(address);
     bool useful = false;
     for (std::string& bytes : values.m_sections) {
         if (std::ranges::find(missing, config::content_hash(bytes)) != missing.end()) {
@@ -219,7 +204,7 @@
     }
     for (const std::string& address : overdue) {
         m_requests.erase(address);
-        ++m_unanswered[address];
+        m_claims.unanswered(address);
         strike(address, now);
     }
     progress(now);
@@ -234,20 +219,12 @@
     progress(now);
 }
 
-config::version_number replicator::heard_version() const
-{
-    return m_heard.empty() ? 0 : m_heard.rbegin()->first.m_version;
-}
-
 void replicator::progress(time_point now)
 {
-    std::set<version_id> ids;
+    std::set<version_id> ids = m_claims.versions();
     for (const version_id& id : m_parts.candidates()) {
         ids.insert(id);
     }
-    for (const auto& [address, held] : m_claims) {
-        ids.insert(held.m_id);
-    }
     for (auto it = ids.rbegin(); it != ids.rend(); ++it) {
         progress(*it, now);
     }
@@ -263,24 +240,11 @@
         return;
     }
     // The source's calls are scarce: it is asked where the peers do not answer.
-    if (!pull_from_peer(id, now) || are_holders_silent(id)) {
+    if (!pull_from_peer(id, now) || m_claims.are_holders_silent(id)) {
         fetch_from_source(id, now);
     }
 }
 
-unsigned replicator::unanswered(const std::string& address) const
-{
-    const auto it = m_unanswered.find(address);
-    return it == m_unanswered.end() ? 0 : it->second;
-}
-
-bool replicator::are_holders_silent(const version_id& id) const
-{
-    return std::ranges::all_of(m_claims, [&](const auto& entry) {
-        return entry.second.m_id != id || unanswered(entry.first) > 0;
-    });
-}
-
 bool replicator::pull_from_peer(const version_id& id, time_point now)
 {
     for (const auto& [address, asked] : m_requests) {
@@ -288,21 +252,9 @@
             return true;
         }
     }
-    std::vector<std::string> holders;
-    unsigned fewest = std::numeric_limits<unsigned>::max();
-    for (const auto& [address, held] : m_claims) {
-        if (held.m_id != id || m_requests.contains(address)) {
-            continue;
-        }
-        const unsigned failures = unanswered(address);
-        if (failures < fewest) {
-            fewest = failures;
-            holders.clear();
-        }
-        if (failures == fewest) {
-            holders.push_back(address);
-        }
-    }
+    std::vector<std::string> holders = m_claims.holders(id);
+    std::erase_if(holders,
+                  [&](const std::string& address) { return m_requests.contains(address); });
     if (holders.empty()) {
         return false;
     }
@@ -364,12 +316,9 @@
         return false;
     }
     m_parts.set_in_force(id);
+    m_claims.set_in_force(id);
     std::erase_if(m_source_fetches,
                   [&](const auto& entry) { return entry.first.m_version <= id.m_version; });
-    std::erase_if(m_claims,
-                  [&](const auto& entry) { return entry.second.m_id.m_version <= id.m_version; });
-    std::erase_if(m_heard,
-                  [&](const auto& entry) { return entry.first.m_version <= id.m_version; });
     std::erase_if(m_requests,
                   [&](const auto& entry) { return entry.second.m_id.m_version <= id.m_version; });
     m_hooks.m_log(log_level::info, "version_in_force", describe(id));
@@ -381,40 +330,27 @@
 {
     m_parts.drop(id);
     m_source_fetches.erase(id);
-    m_heard.erase(id);
-    std::erase_if(m_claims, [&](const auto& entry) { return entry.second.m_id == id; });
+    m_claims.forget(id);
 }
 
 void replicator::strike(const std::string& address, time_point now)
 {
-    const auto it = m_claims.find(address);
-    if (it != m_claims.end() && ++it->second.m_strikes >= m_options.m_max_strikes) {
-        discredit(address, "did not deliver it", now + m_options.m_silent_pause);
+    if (const std::optional<version_id> id = m_claims.strike(address, now)) {
+        report_false_claim(address, *id, "did not deliver it");
     }
     progress(now);
 }
 
-bool replicator::is_discredited(const std::string& address, const version_id& id, time_point now)
+void replicator::discredit(const std::string& address, const std::string& text, time_point now)
 {
-    std::erase_if(m_discredited, [&](const auto& entry) { return entry.second <= now; });
-    return m_discredited.contains({address, id});
+    if (const std::optional<version_id> id = m_claims.discredit(address, now)) {
+        report_false_claim(address, *id, text);
+    }
 }
 
-void replicator::discredit(const std::string& address, const std::string& text, time_point until)
+void replicator::report_false_claim(const std::string& address, const version_id& id,
+                                    const std::string& text)
 {
-    const auto it = m_claims.find(address);
-    if (it == m_claims.end()) {
-        return;
-    }
-    const version_id id = it->second.m_id;
-    m_claims.erase(it);
-    m_discredited[{address, id}] = until;
-    if (const auto heard = m_heard.find(id); heard != m_heard.end()) {
-        heard->second.erase(address);
-        if (heard->second.empty()) {
-            m_heard.erase(heard);
-        }
-    }
     refuse(id.m_version,
            {reason_code::invalid, "peer " + address + " claims " + describe(id) + " but " + text});
 }
--- a/pomelohead/distribution/replicator.h
+++ b/pomelohead/distribution/replicator.h
@@ -5,13 +5,12 @@
 // versions to its version_gate. It does no I/O: requests go out by hooks, answers
 // come in by calls, and tick() renews requests that were not answered.
 //
-// A claim is believed only as far as its holder delivers: other bytes under the
-// claimed hash, or no bytes at all after max_strikes requests, discredit it.
 // Before its first version comes into force a node holds back any version older
-// than the highest credited claim.
+// than the highest that its claim_book has heard of.
 #pragma once
 
 #include "pomelohead/distribution/assembly.h"
+#include "pomelohead/distribution/claim_book.h"
 #include "pomelohead/distribution/log_hook.h"
 #include "pomelohead/distribution/messages.h"
 #include "pomelohead/runtime/timer_service.h"
@@ -23,10 +22,8 @@
 
 /// Limits of a replicator.
 struct replicator_options {
-    milliseconds m_pull_limit{1'000};    ///< a pull not answered by then is made again
-    unsigned m_max_strikes = 5;          ///< fruitless pulls that discredit a claim
-    milliseconds m_false_pause{60'000};  ///< a claim with false content is not heard for so long
-    milliseconds m_silent_pause{10'000}; ///< one that was not delivered, for so long
+    milliseconds m_pull_limit{1'000}; ///< a pull not answered by then is made again
+    claim_options m_claims{};
     source::backoff_options m_section_retry{}; ///< between reads of sections from the source
 };
 
@@ -69,7 +66,7 @@
     [[nodiscard]] const version_gate& gate() const { return m_gate; }
 
     /// The highest version that a credited claim names.
-    [[nodiscard]] config::version_number heard_version() const;
+    [[nodiscard]] config::version_number heard_version() const { return m_claims.heard_version(); }
 
     /// What the source last gave as its newest.
     [[nodiscard]] const version_id& source_version() const { return m_source_version; }
@@ -78,10 +75,6 @@
     [[nodiscard]] bool is_busy() const { return !m_parts.candidates().empty(); }
 
 private:
-    struct claim {
-        version_id m_id;
-        unsigned m_strikes = 0;
-    };
     struct request {
         version_id m_id;
         time_point m_deadline;
@@ -99,10 +92,9 @@
     void fetch_from_source(const version_id& id, time_point now);
     bool try_accept(const version_id& id);
     void strike(const std::string& address, time_point now);
-    void discredit(const std::string& address, const std::string& text, time_point until);
-    [[nodiscard]] bool are_holders_silent(const version_id& id) const;
-    [[nodiscard]] unsigned unanswered(const std::string& address) const;
-    bool is_discredited(const std::string& address, const version_id& id, time_point now);
+    void discredit(const std::string& address, const std::string& text, time_point now);
+    void report_false_claim(const std::string& address, const version_id& id,
+                            const std::string& text);
     void forget(const version_id& id);
     void refuse(config::version_number version, reason why);
     void report_conflict(const version_id& id, const std::string& from);
@@ -114,10 +106,7 @@
     assembly m_parts;
     bool m_first_allowed = false;
     version_id m_source_version;
-    std::map<std::string, claim> m_claims;               // by address, newer than in force
-    std::map<version_id, std::set<std::string>> m_heard; // claimants of credited claims
-    std::map<std::pair<std::string, version_id>, time_point> m_discredited; // until when
-    std::map<std::string, unsigned> m_unanswered;        // pulls in a row, by address
+    claim_book m_claims;
     std::map<std::string, request> m_requests;           // unanswered pulls by address
     std::map<version_id, source_fetch> m_source_fetches; // the source's versions
     std::set<std::string> m_reported;                    // hashes of reported conflicts
--- a/pomelohead/distribution/version_gate.cc
+++ b/pomelohead/distribution/version_gate.cc
@@ -62,6 +62,9 @@
     switch (judge({opened->m_version, opened->m_manifest_hash})) {
     case judgement::take:
         m_current = std::make_shared<const config::snapshot>(*std::move(opened));
+        if (m_last_refusal && m_last_refusal->m_version == m_current->m_version) {
+            m_last_refusal.reset(); // a trouble on the way that is over
+        }
         return m_current;
     case judgement::conflict:
         why = {reason_code::conflict,
