--- a/pomelohead/distribution/claim_book.h
+++ b/pomelohead/distribution/claim_book.h
@@ -1,11 +1,11 @@
 // Which peers say that they have which newer version, and how far to believe them.
 //
-// A claim is believed only as far as its holder delivers: false content, or
-// max_strikes pulls in a row without use, discredit it for a while. Peers that
-// left pulls unanswered are asked after all others.
+// A claim is believed until its holder disproves it: false content, or max_strikes
+// answers without the content, discredit it for a while. Silence disproves nothing;
+// peers that left pulls unanswered are asked after all others.
 //
 // The highest credited claim is what a starting node measures an offered version
-// by: it does not begin with an older one.
+// by: it does not begin with an older one, even if the holder is gone since.
 #pragma once
 
 #include "pomelohead/distribution/version_gate.h"
@@ -18,9 +18,9 @@
 
 /// Limits of a claim_book.
 struct claim_options {
-    unsigned m_max_strikes = 5;          ///< fruitless pulls that discredit a claim
+    unsigned m_max_strikes = 5;          ///< fruitless answers that discredit a claim
     milliseconds m_false_pause{60'000};  ///< a claim with false content is not heard for so long
-    milliseconds m_silent_pause{10'000}; ///< one that was not delivered, for so long
+    milliseconds m_silent_pause{10'000}; ///< one that its holder could not deliver, for so long
 
     bool operator==(const claim_options&) const = default;
 };
@@ -49,7 +49,7 @@
     /// A pull was not answered in time.
     void unanswered(const std::string& address) { ++m_unanswered[address]; }
 
-    /// A pull was of no use. Returns the version claimed if that discredits the claim.
+    /// A pull was answered without use. Returns the version claimed if that discredits the claim.
     std::optional<version_id> strike(const std::string& address, time_point now);
 
     /// The peer delivered false content. Returns the version it claimed.
--- a/pomelohead/distribution/peer_transport.cc
+++ b/pomelohead/distribution/peer_transport.cc
@@ -246,8 +246,7 @@
         if (m_links.erase(item) == 0) {
             return;
         }
-        const auto error = item->m_connection->get_ec();
-        if (error == ws::processor::error::message_too_big) {
+        if (item->m_connection->get_local_close_code() == ws::close::status::message_too_big) {
             m_hooks.m_log(log_level::error, "peer_message_refused",
                           name(item) + ": message exceeds " + std::to_string(max_message_bytes) +
                               " bytes");
--- a/pomelohead/distribution/replicator.cc
+++ b/pomelohead/distribution/replicator.cc
@@ -205,7 +205,6 @@
     for (const std::string& address : overdue) {
         m_requests.erase(address);
         m_claims.unanswered(address);
-        strike(address, now);
     }
     progress(now);
 }
@@ -336,7 +335,7 @@
 void replicator::strike(const std::string& address, time_point now)
 {
     if (const std::optional<version_id> id = m_claims.strike(address, now)) {
-        report_false_claim(address, *id, "did not deliver it");
+        report_false_claim(address, *id, "does not have it");
     }
     progress(now);
 }
