--- a/pomelohead/distribution/distributor.cc
+++ b/pomelohead/distribution/distributor.cc
@@ -286,6 +286,8 @@
     result.m_links = m_impl->m_peers.links();
     result.m_bytes_sent = m_impl->m_source.bytes_sent() + m_impl->m_peers.bytes_sent();
     result.m_bytes_received = m_impl->m_source.bytes_received() + m_impl->m_peers.bytes_received();
+    result.m_source_bytes = m_impl->m_source.bytes_sent() + m_impl->m_source.bytes_received();
+    result.m_messages = m_impl->m_peers.messages();
     return result;
 }
 
--- a/pomelohead/distribution/distributor.h
+++ b/pomelohead/distribution/distributor.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "pomelohead/distribution/core.h"
+#include "pomelohead/distribution/traffic.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -50,8 +51,10 @@
     bool m_confirmed = true;   ///< false: woke from a freeze and has not yet heard from others
     bool m_superseded = false; ///< another process has taken over this address
     std::size_t m_links = 0;
-    std::uint64_t m_bytes_sent = 0;     ///< to peers and source, without TCP/IP headers
-    std::uint64_t m_bytes_received = 0; ///< from peers and source, without TCP/IP headers
+    std::uint64_t m_bytes_sent = 0;        ///< to peers and source, without TCP/IP headers
+    std::uint64_t m_bytes_received = 0;    ///< from peers and source, without TCP/IP headers
+    std::uint64_t m_source_bytes = 0;      ///< the part of both that was exchanged with the source
+    std::vector<message_count> m_messages; ///< to and from peers, by type
 };
 
 /// A node's configuration and its view of the other nodes.
--- a/pomelohead/distribution/peer_transport.cc
+++ b/pomelohead/distribution/peer_transport.cc
@@ -197,7 +197,8 @@
         if (m_stopped || !m_links.contains(item)) {
             return;
         }
-        m_bytes_received += bytes.size() + frame_header_bytes(bytes.size(), !item->m_outgoing);
+        const std::size_t size = bytes.size() + frame_header_bytes(bytes.size(), !item->m_outgoing);
+        m_bytes_received += size;
         reason why;
         std::optional<message> received = decode(bytes, why);
         const hello* greeting = received ? std::get_if<hello>(&*received) : nullptr;
@@ -210,6 +211,7 @@
             close(item, ws::close::status::protocol_error, why.m_text);
             return;
         }
+        m_traffic.received(*received, size);
         if (greeting != nullptr && !greet(item, greeting->m_self.m_address)) {
             return;
         }
@@ -312,7 +314,10 @@
             return;
         }
         if (!item->m_connection->send(bytes, ws::frame::opcode::binary)) {
-            m_bytes_sent += bytes.size() + frame_header_bytes(bytes.size(), item->m_outgoing);
+            const std::size_t size =
+                bytes.size() + frame_header_bytes(bytes.size(), item->m_outgoing);
+            m_bytes_sent += size;
+            m_traffic.sent(bytes, size);
         }
     }
 
@@ -380,6 +385,7 @@
     bool m_stopped = false;
     std::uint64_t m_bytes_sent = 0;
     std::uint64_t m_bytes_received = 0;
+    traffic m_traffic;
 };
 
 peer_transport::peer_transport(transport_options options, timer_service& timers,
@@ -425,4 +431,9 @@
     return m_impl->m_bytes_received;
 }
 
+std::vector<message_count> peer_transport::messages() const
+{
+    return m_impl->m_traffic.lines();
+}
+
 } // namespace pomelohead::distribution
--- a/pomelohead/distribution/peer_transport.h
+++ b/pomelohead/distribution/peer_transport.h
@@ -17,6 +17,7 @@
 
 #include "pomelohead/distribution/log_hook.h"
 #include "pomelohead/distribution/messages.h"
+#include "pomelohead/distribution/traffic.h"
 #include "pomelohead/runtime/timer_service.h"
 
 #include <boost/asio/io_context.hpp>
@@ -73,6 +74,9 @@
     [[nodiscard]] std::uint64_t bytes_sent() const;
     [[nodiscard]] std::uint64_t bytes_received() const;
 
+    /// Messages sent and received so far, by type.
+    [[nodiscard]] std::vector<message_count> messages() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- a/pomelohead/node/admin_pages.cc
+++ b/pomelohead/node/admin_pages.cc
@@ -36,6 +36,18 @@
             {"version", item.m_version}};
 }
 
+json messages_json(const std::vector<distribution::message_count>& messages)
+{
+    json out = json::object();
+    for (const distribution::message_count& line : messages) {
+        out[std::string(line.m_type)] = {{"sent", line.m_sent},
+                                         {"sent_bytes", line.m_sent_bytes},
+                                         {"received", line.m_received},
+                                         {"received_bytes", line.m_received_bytes}};
+    }
+    return out;
+}
+
 json slots_json(node& n)
 {
     json out = json::object();
@@ -108,6 +120,8 @@
             {"links", s.m_links},
             {"control_bytes_sent", s.m_bytes_sent},
             {"control_bytes_received", s.m_bytes_received},
+            {"source_bytes", s.m_source_bytes},
+            {"messages", messages_json(s.m_messages)},
             {"slots", slots_json(n)},
             {"quarantine", quarantine_json(n)}};
 }
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -76,6 +76,7 @@
 
 distribution::distribution_options distribution_options_of(const settings::node_settings& settings)
 {
+    const knob_reader knobs(settings);
     distribution::distribution_options options;
     options.m_self = {settings.m_node, settings.m_listen.m_address, settings.m_region,
                       settings.m_failure_domain};
@@ -83,6 +84,10 @@
     options.m_seeds = settings.m_peers;
     options.m_source.m_address = settings.m_source.m_address;
     options.m_source.m_port = settings.m_source.m_port;
+    options.m_core.m_gossip_enabled = knobs.on("gossip");
+    options.m_core.m_watchers = knobs.whole<std::size_t>("watchers");
+    options.m_core.m_reader.m_poll_period =
+        std::chrono::duration_cast<milliseconds>(knobs.seconds("source_poll_s"));
     options.m_log = log_distribution;
     return options;
 }
--- a/pomelohead/settings/policy_knobs.cc
+++ b/pomelohead/settings/policy_knobs.cc
@@ -30,6 +30,11 @@
         {"quarantine_s", 600, 1, 86400, "how long a crash counts against a request, in seconds"},
         {"ticket_s", 600, 1, 86400, "how long a ticket holds, in seconds"},
 
+        on_off("gossip", true, "nodes give each other versions; off: every node reads the source"),
+        {"watchers", 2, 1, 100, "nodes of each failure domain that watch the source"},
+        {"source_poll_s", 0, 0, 3600,
+         "how often a watcher reads the manifest, in seconds; 0: by long polls"},
+
         on_off("short_reserve", a.m_short_reserve, "long work leaves slots to short work"),
         on_off("urgency_order", a.m_urgency_order, "urgent work leaves the queue first"),
         on_off("depth_order", a.m_depth_order, "deep calls leave the queue first"),
--- a/pomelohead/source/source_reader.h
+++ b/pomelohead/source/source_reader.h
@@ -23,6 +23,7 @@
 /// Limits of a reader.
 struct reader_options {
     milliseconds m_poll_wait{30'000};    ///< of a long poll
+    milliseconds m_poll_period{0};       ///< between reads of the manifest; 0: long polls
     milliseconds m_hosts_period{30'000}; ///< between a watcher's reads of the host list
     double m_burst = 48;                 ///< reads that may follow each other at once
     double m_reads_per_s = 2;            ///< in the long run
@@ -78,6 +79,7 @@
     [[nodiscard]] const source_status& status() const { return m_status; }
 
 private:
+    [[nodiscard]] bool is_polling() const { return m_options.m_poll_period > milliseconds(0); }
     void schedule_manifest(duration delay);
     void start_manifest_read();
     void on_manifest_answer(const read_answer& answer);
