--- a/pomelohead/admission/long_work_limit.cc
+++ b/pomelohead/admission/long_work_limit.cc
@@ -1,6 +1,3 @@
-// The margin is the square-root staffing rule (S. Halfin and W. Whitt, "Heavy-traffic
-// limits for queues with many exponential servers", 1981): with a + b * sqrt(a)
-// servers for a load of a, the share of requests that wait depends on b alone.
 #include "pomelohead/admission/long_work_limit.h"
 
 #include <algorithm>
@@ -24,8 +21,7 @@
 
 double long_work_limit::average_limit(std::uint32_t slots) const
 {
-    const double wanted = m_average_short + m_options.m_reserve_margin * std::sqrt(m_average_short);
-    const double reserve = std::max<double>(m_options.m_min_reserve, wanted);
+    const double reserve = std::max<double>(m_options.m_min_reserve, m_average_short);
     return std::max(m_options.m_long_floor, slots - reserve);
 }
 
--- a/pomelohead/admission/long_work_limit.h
+++ b/pomelohead/admission/long_work_limit.h
@@ -1,10 +1,11 @@
 // How many of a target's slots long work may hold.
 //
 // Long work cannot be interrupted and outlasts many short requests, so a slot that
-// it takes is gone for their purposes. Short work therefore keeps its average load
-// plus a margin that grows with the square root of that load, and never less than
-// a fixed reserve; long work gets the rest. The rest is seldom a whole number: the
-// limit is kept on average, by running one request more at some times than at others.
+// it takes is gone for their purposes. Short work therefore keeps its average load,
+// queued requests included, and never less than a fixed reserve; long work gets the
+// rest. The rest is seldom a whole number: the limit is kept on average, by running
+// one request more at some times than at others. No margin is added on each target:
+// entries send short work to the targets that have room, which pools them.
 //
 //     long_work_limit limit(options);
 //     limit.observe(short_now, long_now, now);
--- a/pomelohead/admission/options.h
+++ b/pomelohead/admission/options.h
@@ -13,15 +13,12 @@
     bool m_urgency_order = true;      ///< urgent work leaves the queue first
     bool m_depth_order = true;        ///< deep calls before the start of new chains
     bool m_fair_share = true;         ///< accounts with little recent use first
-    bool m_deadline_order = true;     ///< earliest deadline first among equals
     bool m_deadline_admission = true; ///< refuse what cannot finish in the time left
     bool m_bounded_wait = true;       ///< refuse short work that would wait past m_max_wait
     bool m_slow_start = true;         ///< begin with few slots
 
     /// Slots that long work never takes.
     std::uint32_t m_min_reserve = 1;
-    /// Room for short work above its average load, in square roots of that load.
-    double m_reserve_margin = 0.4;
     /// Slots that waiting long work gets on average even if short work wants all.
     double m_long_floor = 0.25;
     /// Over which time the load of short work is averaged.
@@ -31,7 +28,7 @@
     /// Queued long requests per slot.
     std::uint32_t m_long_queue_per_slot = 1;
     /// The longest that a short request waits for a slot.
-    milliseconds m_max_wait{25};
+    milliseconds m_max_wait{30};
     /// Share of a request's typical run time that must be left for it to start.
     double m_needed_share = 1.0;
     /// Share of the recent use that an account with waiting work gets whatever
--- a/pomelohead/admission/request_facts.h
+++ b/pomelohead/admission/request_facts.h
@@ -32,10 +32,11 @@
 
 /// How full an owned target is. Rides on every answer of its owner.
 struct load_word {
-    std::uint32_t m_free = 0;        ///< slots free for short work
-    std::uint32_t m_queued = 0;      ///< short work that waits for a slot
-    std::uint32_t m_long_free = 0;   ///< slots that long work may take now
-    std::uint32_t m_long_queued = 0; ///< long work that waits for a slot
+    std::uint32_t m_free = 0;          ///< slots free for short work
+    std::uint32_t m_queued = 0;        ///< short work that waits for a slot
+    std::uint32_t m_urgent_queued = 0; ///< the urgent part of m_queued
+    std::uint32_t m_long_free = 0;     ///< slots that long work may take now
+    std::uint32_t m_long_queued = 0;   ///< long work that waits for a slot
 
     bool operator==(const load_word&) const = default;
 };
--- a/pomelohead/admission/slot_queue.cc
+++ b/pomelohead/admission/slot_queue.cc
@@ -134,9 +134,6 @@
             return x_use < y_use;
         }
     }
-    if (m_options.m_deadline_order && x.m_deadline != y.m_deadline) {
-        return x.m_deadline < y.m_deadline;
-    }
     return a.m_sequence < b.m_sequence;
 }
 
@@ -356,6 +353,11 @@
     load_word word;
     word.m_free = m_limit > running() ? m_limit - running() : 0;
     word.m_queued = count_queued(work_class::short_work);
+    word.m_urgent_queued =
+        static_cast<std::uint32_t>(std::ranges::count_if(m_queue, [](const queued_request& entry) {
+            return entry.m_facts.m_class == work_class::short_work &&
+                   entry.m_facts.m_urgency == config::urgency::urgent;
+        }));
     word.m_long_queued = count_queued(work_class::long_work);
     word.m_long_free = word.m_free;
     if (m_options.m_short_reserve) {
--- a/pomelohead/admission/slot_queue.h
+++ b/pomelohead/admission/slot_queue.h
@@ -5,7 +5,7 @@
 // once; a refused request has not run. Long work leaves a reserve of slots to short
 // work, which may take all of them (long_work_limit.h). Queued short work leaves in
 // the order of urgency, depth in its call chain, its account's recent use and its
-// deadline; an account below its floor goes first whatever its urgency. What cannot
+// arrival; an account below its floor goes first whatever its urgency. What cannot
 // finish in the time left is neither started nor queued.
 //
 // The class does no I/O and reads no clock. Ids that a call returns are decided for
--- a/pomelohead/routing/call.h
+++ b/pomelohead/routing/call.h
@@ -13,6 +13,7 @@
 /// One call, as far as routing depends on it.
 struct call_facts {
     config::work_class m_class = config::work_class::short_work;
+    config::urgency m_urgency = config::urgency::normal;
     bool m_idempotent = false;
     std::uint32_t m_depth = 0; ///< levels above it in its call chain
 
@@ -29,6 +30,16 @@
     bool operator==(const owner_word&) const = default;
 };
 
+/// Free slots for a call by a word; negative: as many requests wait before it.
+[[nodiscard]] inline double said_headroom(const admission::load_word& load, const call_facts& call)
+{
+    if (call.m_class == config::work_class::long_work) {
+        return static_cast<double>(load.m_long_free) - load.m_long_queued;
+    }
+    const bool is_urgent = call.m_urgency == config::urgency::urgent;
+    return static_cast<double>(load.m_free) - (is_urgent ? load.m_urgent_queued : load.m_queued);
+}
+
 /// How one attempt at a target ended.
 enum class attempt_result {
     answered,  ///< the whole answer came
--- a/pomelohead/routing/options.h
+++ b/pomelohead/routing/options.h
@@ -28,7 +28,7 @@
     /// A target this many times slower than the median of its peers is slow.
     double m_slow_ratio = 3.0;
     /// Share of its usual work that a slow target still gets.
-    double m_slow_share = 0.02;
+    double m_slow_share = 0.005;
     /// Over which time the share of a returning target doubles.
     milliseconds m_return_doubling{200};
     /// Over which time without samples a slow target's ratio shrinks to its square root.
@@ -40,6 +40,8 @@
     double m_hedge_share = 0.025;
     /// Resends of requests that an owner refused as not run, per success.
     double m_resend_share = 0.2;
+    /// Resends are tried only this soon after a call's arrival.
+    milliseconds m_resend_window{15};
     /// Retries per second that are allowed without any success.
     double m_budget_floor_per_s = 0.1;
     /// Largest number of retries saved up.
--- a/pomelohead/routing/owner_selector.cc
+++ b/pomelohead/routing/owner_selector.cc
@@ -76,7 +76,7 @@
     return *middle;
 }
 
-double owner_selector::usual_headroom(const config::service& service, work_class work,
+double owner_selector::usual_headroom(const config::service& service, const call_facts& call,
                                       time_point now) const
 {
     double sum = 0;
@@ -91,11 +91,7 @@
         const double trust =
             std::exp(-std::chrono::duration<double>(now - view->second.word()->m_heard).count() /
                      std::chrono::duration<double>(m_options.m_word_age).count());
-        const admission::load_word& load = view->second.word()->m_load;
-        const double said = work == work_class::short_work
-                                ? static_cast<double>(load.m_free) - load.m_queued
-                                : static_cast<double>(load.m_long_free) - load.m_long_queued;
-        sum += trust * said;
+        sum += trust * said_headroom(view->second.word()->m_load, call);
         count += trust;
     }
     // Half of the slots stand in while no word has been heard.
@@ -114,33 +110,39 @@
     return is_remote ? m_options.m_region_cost : m_options.m_domain_cost;
 }
 
-duration owner_selector::expected_cost(const candidate& item, work_class work, duration typical,
-                                       double usual, time_point now) const
+duration owner_selector::expected_cost(const candidate& item, const call_facts& call,
+                                       duration typical, double usual, time_point now) const
 {
-    const double headroom = item.m_view->headroom(work, usual, now, m_options);
+    const double headroom = item.m_view->headroom(call, usual, now, m_options);
     const duration run_time = typical > duration::zero() ? typical : unknown_latency;
     const double excess = expected_excess(headroom) / std::max(1U, item.m_target->m_slots);
     const auto wait = std::chrono::duration_cast<duration>(run_time * excess);
     return wait + (m_options.m_local_preference ? network_cost(*item.m_target) : duration::zero());
 }
 
-// Draws without replacement, each candidate in proportion to its share.
-void owner_selector::draw(std::vector<candidate>& from, std::size_t count, std::mt19937_64& random,
-                          std::vector<candidate>& drawn)
+// Keeps each candidate with the probability of its share; all where none is kept.
+void owner_selector::thin_out(std::vector<candidate>& candidates, std::mt19937_64& random)
 {
-    while (count-- > 0 && !from.empty()) {
-        double total = 0;
-        for (const candidate& item : from) {
-            total += item.m_share;
-        }
-        double point = std::uniform_real_distribution<double>(0, total)(random);
-        std::size_t index = 0;
-        while (index + 1 < from.size() && point >= from[index].m_share) {
-            point -= from[index].m_share;
-            ++index;
+    std::vector<candidate> kept;
+    std::uniform_real_distribution<double> unit(0, 1);
+    for (const candidate& item : candidates) {
+        if (item.m_share >= 1 || unit(random) < item.m_share) {
+            kept.push_back(item);
         }
+    }
+    if (!kept.empty()) {
+        candidates = std::move(kept);
+    }
+}
+
+void owner_selector::draw(std::vector<candidate>& from, std::mt19937_64& random,
+                          std::vector<candidate>& drawn) const
+{
+    for (std::uint32_t i = 0; i < m_options.m_candidates && !from.empty(); ++i) {
+        const std::size_t index = random() % from.size();
         drawn.push_back(from[index]);
-        from.erase(from.begin() + static_cast<std::ptrdiff_t>(index));
+        from[index] = from.back();
+        from.pop_back();
     }
 }
 
@@ -158,8 +160,6 @@
 {
     const duration typical = typical_latency(service);
     std::vector<candidate> eligible;
-    std::vector<candidate> local;
-    std::vector<candidate> elsewhere;
     std::string left_out;
     for (const config::target& target : service.m_targets) {
         std::string cause = why_left_out(config, target, excluded_targets, reachable);
@@ -172,22 +172,27 @@
             !m_options.m_local_preference || target.m_failure_domain == m_own_domain;
         const candidate item{&target, &view, view.share(typical, now, m_options), is_local};
         eligible.push_back(item);
-        (is_local ? local : elsewhere).push_back(item);
     }
     if (eligible.empty()) {
         why = {reason_code::unreachable,
                "no target of service " + service.m_name + " can take work: " + left_out};
         return std::nullopt;
     }
+    thin_out(eligible, random);
     if (!m_options.m_power_of_two) {
         return *round_robin(service, eligible).m_target;
     }
+    std::vector<candidate> local;
+    std::vector<candidate> elsewhere;
+    for (const candidate& item : eligible) {
+        (item.m_local ? local : elsewhere).push_back(item);
+    }
     std::vector<candidate> drawn;
-    draw(local, m_options.m_candidates, random, drawn);
-    draw(elsewhere, m_options.m_candidates, random, drawn);
-    const double usual = usual_headroom(service, call.m_class, now);
+    draw(local, random, drawn);
+    draw(elsewhere, random, drawn);
+    const double usual = usual_headroom(service, call, now);
     const auto cost = [&](const candidate& item) {
-        return expected_cost(item, call.m_class, typical, usual, now);
+        return expected_cost(item, call, typical, usual, now);
     };
     return *std::ranges::min_element(drawn, {}, cost)->m_target;
 }
@@ -219,7 +224,7 @@
                         const call_facts& call, const reachable_fn& reachable, time_point now)
 {
     const duration typical = typical_latency(service);
-    const double usual = usual_headroom(service, call.m_class, now);
+    const double usual = usual_headroom(service, call, now);
     std::vector<target_explanation> lines;
     for (const config::target& target : service.m_targets) {
         target_view view = m_views[target.m_name];
@@ -232,10 +237,10 @@
         line.m_draining = view.is_draining() || config.is_draining(target.m_name);
         line.m_share = view.share(typical, now, m_options);
         line.m_slow = view.slow_ratio(typical, now, m_options) >= m_options.m_slow_ratio;
-        line.m_free = view.headroom(call.m_class, usual, now, m_options);
+        line.m_free = view.headroom(call, usual, now, m_options);
         line.m_queued = view.word() ? view.word()->m_load.m_queued : 0;
         const candidate item{&target, &view, line.m_share, false};
-        const duration cost = expected_cost(item, call.m_class, typical, usual, now);
+        const duration cost = expected_cost(item, call, typical, usual, now);
         line.m_expected_wait_ms = std::chrono::duration<double, std::milli>(cost).count();
         if (line.m_eligible && line.m_slow) {
             line.m_why = "slower than its peers: gets a small share";
--- a/pomelohead/routing/owner_selector.h
+++ b/pomelohead/routing/owner_selector.h
@@ -83,15 +83,16 @@
                                            const std::vector<std::string>& excluded,
                                            const reachable_fn& reachable) const;
     [[nodiscard]] duration typical_latency(const config::service& service) const;
-    [[nodiscard]] double usual_headroom(const config::service& service, config::work_class work,
+    [[nodiscard]] double usual_headroom(const config::service& service, const call_facts& call,
                                         time_point now) const;
     [[nodiscard]] duration network_cost(const config::target& target) const;
-    [[nodiscard]] duration expected_cost(const candidate& item, config::work_class work,
+    [[nodiscard]] duration expected_cost(const candidate& item, const call_facts& call,
                                          duration typical, double usual, time_point now) const;
     [[nodiscard]] const candidate& round_robin(const config::service& service,
                                                const std::vector<candidate>& eligible);
-    static void draw(std::vector<candidate>& from, std::size_t count, std::mt19937_64& random,
-                     std::vector<candidate>& drawn);
+    static void thin_out(std::vector<candidate>& candidates, std::mt19937_64& random);
+    void draw(std::vector<candidate>& from, std::mt19937_64& random,
+              std::vector<candidate>& drawn) const;
 
     routing_options m_options;
     std::string m_own_domain;
--- a/pomelohead/routing/retry_budget.cc
+++ b/pomelohead/routing/retry_budget.cc
@@ -20,15 +20,15 @@
     m_started = true;
 }
 
-bool retry_budget::has(time_point now, std::uint32_t depth)
+bool retry_budget::has(time_point now, std::uint32_t depth, double kept)
 {
     refill(now);
-    return m_tokens >= 1.0 + depth;
+    return m_tokens - kept * m_cap >= 1.0 + depth;
 }
 
-bool retry_budget::take(time_point now, std::uint32_t depth)
+bool retry_budget::take(time_point now, std::uint32_t depth, double kept)
 {
-    if (!has(now, depth)) {
+    if (!has(now, depth, kept)) {
         return false;
     }
     m_tokens -= 1.0 + depth;
--- a/pomelohead/routing/retry_budget.h
+++ b/pomelohead/routing/retry_budget.h
@@ -23,11 +23,12 @@
     /// Attempts per success, attempts per second without any, and the most saved up.
     retry_budget(double share_of_successes, double floor_per_s, double cap);
 
-    /// Takes one attempt; false: none is left.
-    [[nodiscard]] bool take(time_point now, std::uint32_t depth = 0);
+    /// Takes one attempt; false: none is left beyond `kept`, a share of the cap
+    /// that stays for more urgent calls.
+    [[nodiscard]] bool take(time_point now, std::uint32_t depth = 0, double kept = 0);
 
     /// Whether take() would succeed.
-    [[nodiscard]] bool has(time_point now, std::uint32_t depth = 0);
+    [[nodiscard]] bool has(time_point now, std::uint32_t depth = 0, double kept = 0);
 
     void success(time_point now);
 
--- /dev/null
+++ b/pomelohead/routing/retry_policy.cc
@@ -0,0 +1,42 @@
+#include "pomelohead/routing/retry_policy.h"
+
+namespace pomelohead::routing {
+namespace {
+
+// Share of the resend budget that is kept for urgent calls.
+constexpr double kept_for_urgent = 0.5;
+
+} // namespace
+
+retry_policy::retry_policy(const routing_options& options)
+    : m_options(options),
+      m_resends(options.m_resend_share, options.m_budget_floor_per_s, options.m_budget_cap),
+      m_retries(options.m_retry_share, options.m_budget_floor_per_s, options.m_budget_cap)
+{
+}
+
+bool retry_policy::may_resend(const call_facts& call, duration elapsed, time_point now)
+{
+    if (elapsed > m_options.m_resend_window) {
+        return false;
+    }
+    const double kept = call.m_urgency == config::urgency::urgent ? 0 : kept_for_urgent;
+    // Nothing has run, so nothing is multiplied down the chain: depth costs nothing.
+    return !m_options.m_retry_budget || m_resends.take(now, 0, kept);
+}
+
+bool retry_policy::may_retry(const call_facts& call, time_point now)
+{
+    if (!call.m_idempotent) {
+        return false;
+    }
+    return !m_options.m_retry_budget || m_retries.take(now, call.m_depth);
+}
+
+void retry_policy::answered(time_point now)
+{
+    m_resends.success(now);
+    m_retries.success(now);
+}
+
+} // namespace pomelohead::routing
--- a/pomelohead/routing/target_view.cc
+++ b/pomelohead/routing/target_view.cc
@@ -121,19 +121,17 @@
     return m_share;
 }
 
-double target_view::headroom(work_class work, double usual, time_point now,
+double target_view::headroom(const call_facts& call, double usual, time_point now,
                              const routing_options& options) const
 {
-    const bool is_short = work == work_class::short_work;
-    const double own = outstanding(work);
+    const double own = outstanding(call.m_class);
     if (!m_word || !options.m_owner_word) {
         return usual - own;
     }
-    const admission::load_word& load = m_word->m_load;
-    const double said = is_short ? static_cast<double>(load.m_free) - load.m_queued
-                                 : static_cast<double>(load.m_long_free) - load.m_long_queued;
+    const bool is_short = call.m_class == work_class::short_work;
     const double own_at_word = is_short ? m_short_at_word : m_long_at_word;
     const double trust = std::exp(-seconds(now - m_word->m_heard) / seconds(options.m_word_age));
+    const double said = said_headroom(m_word->m_load, call);
     return trust * (said + own_at_word) + (1 - trust) * usual - own;
 }
 
--- a/pomelohead/routing/target_view.h
+++ b/pomelohead/routing/target_view.h
@@ -42,9 +42,9 @@
     /// once and rises by slow start.
     [[nodiscard]] double share(duration typical, time_point now, const routing_options& options);
 
-    /// Estimated slots free for a class of work; negative: that many requests
-    /// wait. `usual` stands for what an aged or missing word does not tell.
-    [[nodiscard]] double headroom(config::work_class work, double usual, time_point now,
+    /// Estimated slots free for a call; negative: that many requests wait before
+    /// it. `usual` stands for what an aged or missing word does not tell.
+    [[nodiscard]] double headroom(const call_facts& call, double usual, time_point now,
                                   const routing_options& options) const;
 
     [[nodiscard]] bool is_draining() const { return m_word && m_word->m_draining; }
