--- a/testing/cluster.py
+++ b/testing/cluster.py
@@ -215,7 +215,7 @@
             "target_standin", "--name", host.name, "--address", host.address,
             "--port", str(TARGET_PORT), "--slots", str(host.slots),
             "--connections", str(host.connections),
-            "--runs-file", self.path("runs.txt"), *host.target_options])
+            "--runs-file", self.path(f"runs-{host.name}.txt"), *host.target_options])
 
     def start_node(self, host):
         others = [h.address for h in self.hosts if h is not host]
@@ -277,12 +277,13 @@
     def target_control(self, host, **message):
         http_call(host.address, TARGET_PORT, "POST", "/standin/control", json.dumps(message))
 
-    def runs(self):
-        """Runs begun on all targets: a list of (request id, milliseconds since 1970)."""
-        try:
-            lines = pathlib.Path(self.path("runs.txt")).read_text().splitlines()
-        except FileNotFoundError:
-            return []
+    def runs(self, hosts=None):
+        """Runs begun on the hosts' targets: a list of (request id, milliseconds since 1970)."""
+        lines = []
+        for host in hosts or self.hosts:
+            path = pathlib.Path(self.path(f"runs-{host.name}.txt"))
+            if path.exists():
+                lines += path.read_text().splitlines()
         return [(line.rsplit(" ", 1)[0], int(line.rsplit(" ", 1)[1])) for line in lines]
 
 
--- a/testing/load_driver_main.cc
+++ b/testing/load_driver_main.cc
@@ -38,7 +38,8 @@
 
 // How one request ended, for its caller.
 struct result {
-    std::string m_outcome; ///< complete, not-run, unknown, timeout, lost, short, not-connected
+    std::string m_outcome; // complete, not-run, unknown, timeout, lost, short,
+                           // not-connected, no-ticket
     unsigned m_status = 0;
     bool m_foreign = false;
     std::string m_reason;
@@ -138,11 +139,15 @@
         const request_kind& kind = m_plan.m_mix[arrived.m_kind];
         kind_summary& sum = m_summaries[arrived.m_kind];
         sum.m_sent += 1;
-        result last;
-        for (std::uint32_t attempt = 0; attempt <= kind.m_resends; ++attempt) {
+        result last{.m_outcome = "no-ticket"};
+        const std::string ticket =
+            kind.m_ticket ? fetch_ticket(m_entries[arrived.m_entry], kind) : "";
+        const std::string head = head_of(kind, arrived, id, ticket);
+        const std::uint32_t attempts = kind.m_ticket && ticket.empty() ? 0 : 1 + kind.m_resends;
+        for (std::uint32_t attempt = 0; attempt < attempts; ++attempt) {
             sum.m_resent += attempt > 0 ? 1 : 0;
-            last = exchange(m_entries[(arrived.m_entry + attempt) % m_entries.size()], kind,
-                            arrived, id);
+            last =
+                exchange(m_entries[(arrived.m_entry + attempt) % m_entries.size()], kind, head, id);
             if (last.m_outcome != "timeout" && last.m_outcome != "lost") {
                 break;
             }
@@ -157,6 +162,7 @@
             m_records << json{{"id", id},
                               {"kind", kind.m_name},
                               {"at_s", arrived.m_at_s},
+                              {"entry", m_plan.m_entries[arrived.m_entry]},
                               {"latency_ms", latency_ms},
                               {"outcome", last.m_outcome},
                               {"status", last.m_status},
@@ -194,12 +200,35 @@
         return fresh;
     }
 
-    result exchange(entry& to, const request_kind& kind, const arrival& arrived,
+    result exchange(entry& to, const request_kind& kind, const std::string& head,
                     const std::string& id)
+    {
+        body_hash hash;
+        answer_parser parser;
+        const std::string failure = transact(to, kind, head, id, hash, parser);
+        return failure.empty() ? judge(parser, kind, id, hash) : result{.m_outcome = failure};
+    }
+
+    // A ticket's text; empty where the entry gives none.
+    std::string fetch_ticket(entry& to, const request_kind& kind)
+    {
+        const request_kind no_body;
+        body_hash hash;
+        answer_parser parser;
+        const std::string head = "POST /.pomelohead/ticket?path=" + kind.m_path +
+                                 "&method=" + kind.m_method +
+                                 " HTTP/1.1\r\nHost: load\r\nContent-Length: 0\r\n\r\n";
+        const std::string failure = transact(to, no_body, head, "", hash, parser);
+        return failure.empty() ? header(parser, "Pomelohead-Ticket") : "";
+    }
+
+    // Sends a request and reads an answer. Returns the outcome where there is none.
+    std::string transact(entry& to, const request_kind& kind, const std::string& head,
+                         const std::string& id, body_hash& hash, answer_parser& parser)
     {
         const socket_ptr socket = connection(to);
         if (!socket) {
-            return {.m_outcome = "not-connected"};
+            return "not-connected";
         }
         const auto expired = std::make_shared<bool>(false);
         boost::asio::steady_timer timer(m_io, milliseconds(m_plan.m_timeout_ms));
@@ -209,26 +238,25 @@
                 socket->shutdown(tcp::socket::shutdown_both, error);
             }
         });
-        body_hash hash;
-        write(*socket, head_of(kind, arrived, id), kind, id, hash);
+        write(*socket, head, kind, id, hash);
         beast::flat_buffer buffer;
-        answer_parser parser;
         parser.body_limit(max_answer_bytes);
         const auto [error, size] = await<error_code, std::size_t>(
             [&](auto handler) { http::async_read(*socket, buffer, parser, std::move(handler)); });
         if (*expired) {
-            return {.m_outcome = "timeout"};
+            return "timeout";
         }
         if (error) {
-            return {.m_outcome = parser.is_header_done() ? "short" : "lost"};
+            return parser.is_header_done() ? "short" : "lost";
         }
         if (parser.get().keep_alive()) {
             to.m_idle.push_back(socket);
         }
-        return judge(parser, kind, id, hash);
+        return "";
     }
 
-    std::string head_of(const request_kind& kind, const arrival& arrived, const std::string& id)
+    static std::string head_of(const request_kind& kind, const arrival& arrived,
+                               const std::string& id, const std::string& ticket)
     {
         std::ostringstream head;
         head << kind.m_method << " " << kind.m_path << " HTTP/1.1\r\nHost: load\r\n"
@@ -239,6 +267,9 @@
         if (arrived.m_work_ms) {
             head << "X-Work-Ms: " << *arrived.m_work_ms << "\r\n";
         }
+        if (!ticket.empty()) {
+            head << "Pomelohead-Ticket: " << ticket << "\r\n";
+        }
         if (kind.m_body_bytes > 0) {
             head << "Content-Length: " << kind.m_body_bytes << "\r\n";
         }
--- a/testing/load_plan.cc
+++ b/testing/load_plan.cc
@@ -23,6 +23,7 @@
         kind.m_work_ms = value.at("work_ms").get<double>();
     }
     kind.m_exponential_work = value.value("exponential_work", false);
+    kind.m_ticket = value.value("ticket", kind.m_ticket);
     kind.m_resends = value.value("resends", kind.m_resends);
     return kind;
 }
--- a/testing/load_plan.h
+++ b/testing/load_plan.h
@@ -27,6 +27,7 @@
     std::optional<double> m_work_ms;         ///< asked of the target
     bool m_exponential_work = false;         ///< otherwise always m_work_ms
     std::uint32_t m_resends = 0;             ///< after a time-out or a lost connection
+    bool m_ticket = false;                   ///< each request gets a ticket first
 };
 
 /// From a time on, the rate of arrivals.
