--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -25,6 +25,9 @@
     /// Returns when the answer has been sent or the connection is to be closed.
     void run();
 
+    /// Judges the request again, if it has not been handed over.
+    void recheck();
+
 private:
     bool read_head_fields();
     bool find_target();
@@ -47,6 +50,7 @@
     void stream_answer(const http::header<false>& head, std::string first_piece);
     void target_failed(const reason& why, outcome::cause otherwise);
     void keep_connection();
+    void clear_suspicion();
 
     void refuse(outcome::cause why, milliseconds retry_hint = {});
     void answer(const outcome::conclusion& end);
