Leaving, death, replacement and steady traffic on fleets; an older process is told of its successor

Cause: a process that others believe replaced was only told so while it was suspected or dead, so one that woke late went on speaking (found by the new test). Plain periodic reads as a baseline of the reader.

--- a/pomelohead/distribution/gossip.cc
+++ b/pomelohead/distribution/gossip.cc
@@ -138,10 +138,17 @@
 {
     const bool heeded =
         m_table.heard_from(from, state.m_incarnation, state.m_leaving, state.m_held.m_version, now);
-    if (!heeded && m_table.find(from) == nullptr) {
+    if (heeded || m_superseded) {
+        return heeded;
+    }
+    if (const member* known = m_table.find(from)) {
+        // The sender has to learn that another process is believed to live there.
+        m_hooks.m_send(from, notice{own_summary(), {*known}, false});
+    }
+    else {
         ask_for_members(from, now);
     }
-    return heeded;
+    return false;
 }
 
 void gossip::merge(const member& update, time_point now)
--- a/pomelohead/source/source_reader.cc
+++ b/pomelohead/source/source_reader.cc
@@ -55,7 +55,10 @@
     m_single_read = false;
     m_manifest_under_way = true;
     read_request request{.m_key = "manifest", .m_index = m_manifest_index, .m_wait = {}};
-    if (m_manifest_index) {
+    if (m_options.m_read_period > milliseconds::zero()) {
+        request.m_index.reset();
+    }
+    else if (m_manifest_index) {
         request.m_wait = m_options.m_poll_wait;
     }
     send(request, [this](const read_answer& answer) { on_manifest_answer(answer); });
@@ -83,7 +86,7 @@
         m_hooks.m_manifest(answer.m_bytes);
     }
     if (m_status.m_watching) {
-        schedule_manifest(duration::zero());
+        schedule_manifest(m_options.m_read_period);
     }
 }
 
--- a/pomelohead/source/source_reader.h
+++ b/pomelohead/source/source_reader.h
@@ -23,6 +23,7 @@
 /// Limits of a reader.
 struct reader_options {
     milliseconds m_poll_wait{30'000};    ///< of a long poll
+    milliseconds m_read_period{0};       ///< positive: plain reads at this period, no long polls
     milliseconds m_hosts_period{30'000}; ///< between a watcher's reads of the host list
     double m_burst = 48;                 ///< reads that may follow each other at once
     double m_reads_per_s = 2;            ///< in the long run
