--- a/bench/ablations.cc
+++ b/bench/ablations.cc
@@ -18,6 +18,8 @@
     out.note("head_of_line: short_p99_over_no_uploads", item.m_name, uploads.m_p99_ratio, "ratio");
     out.note("head_of_line: upload_share_of_free_slots", item.m_name, uploads.m_upload_share,
              "share");
+    out.note("chains: whole_chains_over_capacity", item.m_name, measure_chains(variant, options),
+             "share");
     const slow_targets_figures slow = measure_slow_targets(variant, options);
     out.note("slow_targets: short_p99_over_none_slowed", item.m_name, slow.m_p99_ratio, "ratio");
     out.note("slow_targets: short_p999_over_none_slowed", item.m_name, slow.m_p999_ratio, "ratio");
@@ -45,6 +47,7 @@
         {"all on", [](sim_variant&) {}},
         {"no short_reserve", [](sim_variant& v) { v.m_admission.m_short_reserve = false; }},
         {"no urgency_order", [](sim_variant& v) { v.m_admission.m_urgency_order = false; }},
+        {"no depth_order", [](sim_variant& v) { v.m_admission.m_depth_order = false; }},
         {"no fair_share", [](sim_variant& v) { v.m_admission.m_fair_share = false; }},
         {"no deadline_admission",
          [](sim_variant& v) { v.m_admission.m_deadline_admission = false; }},
--- a/bench/crest.cc
+++ b/bench/crest.cc
@@ -164,6 +164,8 @@
 {
     constexpr double lost_from_s = crest_begin_s + 4;
     constexpr double lost_until_s = crest_begin_s + 8;
+    constexpr double cold_s = 1;
+    constexpr double cold_slowdown = 3;
     sim_world world = make_world(schedules_service);
     world.m_end = at_second(end_s);
     std::vector<std::size_t> lost;
@@ -173,7 +175,9 @@
         }
     }
     if (domain_loss) {
-        world.m_disturbances = {{at_second(lost_from_s), at_second(lost_until_s), lost, 0}};
+        world.m_disturbances = {
+            {at_second(lost_from_s), at_second(lost_until_s), lost, 0},
+            {at_second(lost_until_s), at_second(lost_until_s + cold_s), lost, cold_slowdown}};
     }
     const std::vector<arrival> arrivals = calls(options);
     const sim_result result =
--- a/bench/policy_sim.cc
+++ b/bench/policy_sim.cc
@@ -81,6 +81,21 @@
     });
 }
 
+// The next level of a call chain begins when the one above it has been served.
+void policy_sim::begin_level(std::size_t call_index)
+{
+    call& item = m_calls[call_index];
+    ++item.m_facts.m_depth;
+    item.m_tried.clear();
+    item.m_hedged = false;
+    const std::vector<std::uint64_t> live = item.m_live;
+    for (const std::uint64_t id : live) {
+        cancel(id);
+    }
+    item.m_live.clear();
+    dispatch(call_index, false);
+}
+
 std::optional<std::size_t> policy_sim::least_reported(const call& item)
 {
     std::optional<std::size_t> best;
@@ -212,6 +227,10 @@
         at.m_hedges.answered(m_service.m_name, m_events.now() - of.m_arrival->m_time,
                              m_events.now());
     }
+    if (of.m_facts.m_depth + 1 < of.m_arrival->m_levels) {
+        begin_level(item.m_call);
+        return;
+    }
     conclude(item.m_call, call_result::end::answered);
 }
 
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -34,8 +34,9 @@
     config::work_class m_class = config::work_class::short_work;
     config::urgency m_urgency = config::urgency::normal;
     bool m_idempotent = true;
-    duration m_work{};     ///< run time on a target at full speed
-    duration m_deadline{}; ///< from arrival
+    duration m_work{};          ///< run time on a target at full speed
+    duration m_deadline{};      ///< from arrival
+    std::uint32_t m_levels = 1; ///< of its call chain, one after the other
 };
 
 /// A time in which some targets run slower or are down.
@@ -118,6 +119,7 @@
     void reply(std::uint64_t attempt_id, routing::attempt_result result);
     void replied(std::uint64_t attempt_id, routing::attempt_result result,
                  const routing::owner_word& word);
+    void begin_level(std::size_t call_index);
     void after_loss(const attempt& lost, routing::attempt_result result);
     void conclude(std::size_t call_index, call_result::end end);
     void cancel(std::uint64_t attempt_id);
--- a/bench/policy_sim_owner.cc
+++ b/bench/policy_sim_owner.cc
@@ -41,6 +41,7 @@
     facts.m_account = what.m_account;
     facts.m_class = what.m_class;
     facts.m_urgency = what.m_urgency;
+    facts.m_depth = m_calls[item.m_call].m_facts.m_depth;
     facts.m_deadline = what.m_time + what.m_deadline;
     item.m_incarnation = at.m_incarnation;
     item.m_stage = attempt::stage::held;
--- a/bench/scenarios.h
+++ b/bench/scenarios.h
@@ -57,6 +57,9 @@
 [[nodiscard]] slow_targets_figures measure_slow_targets(const sim_variant& variant,
                                                         const run_options& options);
 
+/// Five-level call chains at twice the capacity: whole chains served over capacity.
+[[nodiscard]] double measure_chains(const sim_variant& variant, const run_options& options);
+
 /// The figures of crest for one variant.
 struct crest_figures {
     double m_useful_min = 0;     ///< least useful answers per second over capacity or load
@@ -69,7 +72,8 @@
     double m_attempts_per_call = 0;
     double m_unknown = 0; ///< share of calls that ended neither answered nor refused
 };
-/// With `domain_loss`, one failure domain is down from 4 s to 8 s of the crest.
+/// With `domain_loss`, the targets of one failure domain are down from 4 s to 8 s of the
+/// crest and return cold: for 1 s they run 3 times slower.
 [[nodiscard]] crest_figures measure_crest(const sim_variant& variant, const run_options& options,
                                           bool domain_loss);
 
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -97,6 +97,7 @@
     }
     m_target_set = m_config->find_service(m_route->m_service);
     m_call.m_class = m_route->m_class;
+    m_call.m_urgency = m_route->m_urgency;
     m_call.m_idempotent = m_route->m_idempotent;
     reason why;
     const auto left = deadline_of(head, m_route->m_deadline, why);
@@ -234,9 +235,12 @@
     const outcome::attempt_phase last = m_state.m_attempts.back();
     const bool never_ran =
         last == outcome::attempt_phase::not_run || last == outcome::attempt_phase::not_sent;
-    routing::retry_budget& budget = never_ran ? m_service.m_resends : m_service.m_retries;
+    routing::retry_policy& retries = m_service.m_retries;
+    // Connecting is no wait that a caller's prompt refusal has to be bought with.
+    const duration waited =
+        last == outcome::attempt_phase::not_run ? clock_type::now() - m_arrived : duration::zero();
     const bool granted =
-        !m_service.m_options.m_routing.m_retry_budget || budget.take(now, m_call.m_depth);
+        never_ran ? retries.may_resend(m_call, waited, now) : retries.may_retry(m_call, now);
     m_service.m_stats.add(granted ? "retries_total" : "retries_refused_total",
                           {{"after", never_ran ? "not-run" : "unknown"}});
     return granted;
@@ -325,8 +329,7 @@
     }
     feed({.m_kind = entry_event_kind::answer_whole});
     const time_point now = m_service.m_timers.now();
-    m_service.m_retries.success(now);
-    m_service.m_resends.success(now);
+    m_service.m_retries.answered(now);
     if (m_call.m_class == config::work_class::short_work) {
         m_service.m_hedges.answered(m_route->m_service, clock_type::now() - m_arrived, now);
     }
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -20,11 +20,7 @@
       m_hooks(std::move(hooks)), m_body_budget(m_options.m_kept_bytes), m_random(m_options.m_seed),
       m_id_prefix(m_random()),
       m_selector(m_options.m_routing, m_options.m_failure_domain, m_options.m_region),
-      m_retries(m_options.m_routing.m_retry_share, m_options.m_routing.m_budget_floor_per_s,
-                m_options.m_routing.m_budget_cap),
-      m_resends(m_options.m_routing.m_resend_share, m_options.m_routing.m_budget_floor_per_s,
-                m_options.m_routing.m_budget_cap),
-      m_hedges(m_options.m_routing),
+      m_retries(m_options.m_routing), m_hedges(m_options.m_routing),
       m_reachable([this](const config::target& t) { return m_hooks.m_is_alive(t.m_host); }),
       m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
 {
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -15,6 +15,7 @@
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/routing/hedge_policy.h"
 #include "pomelohead/routing/owner_selector.h"
+#include "pomelohead/routing/retry_policy.h"
 #include "pomelohead/telemetry/metrics.h"
 
 #include <random>
@@ -90,8 +91,7 @@
     std::uint64_t m_id_prefix;
     std::uint64_t m_last_id = 0;
     routing::owner_selector m_selector;
-    routing::retry_budget m_retries;
-    routing::retry_budget m_resends;
+    routing::retry_policy m_retries;
     routing::hedge_policy m_hedges;
     routing::reachable_fn m_reachable;
     std::set<std::string> m_blocked;
--- a/pomelohead/forwarding/headers.cc
+++ b/pomelohead/forwarding/headers.cc
@@ -76,6 +76,7 @@
 std::string word_text(const admission::load_word& load, std::uint64_t incarnation, bool draining)
 {
     return "free=" + std::to_string(load.m_free) + " queued=" + std::to_string(load.m_queued) +
+           " urgent-queued=" + std::to_string(load.m_urgent_queued) +
            " long-free=" + std::to_string(load.m_long_free) +
            " long-queued=" + std::to_string(load.m_long_queued) +
            " incarnation=" + std::to_string(incarnation) + " draining=" + (draining ? "1" : "0");
@@ -101,6 +102,9 @@
         else if (name == "queued") {
             word.m_load.m_queued = small;
         }
+        else if (name == "urgent-queued") {
+            word.m_load.m_urgent_queued = small;
+        }
         else if (name == "long-free") {
             word.m_load.m_long_free = small;
         }
@@ -117,7 +121,7 @@
             --known;
         }
     }
-    constexpr int all_fields = 6;
+    constexpr int all_fields = 7;
     return known == all_fields ? std::optional(word) : std::nullopt;
 }
 
--- a/pomelohead/node/admin_pages.cc
+++ b/pomelohead/node/admin_pages.cc
@@ -141,7 +141,9 @@
     out["route"] = route_json(*route);
     out["service"] = route->m_service;
     out["version"] = config->m_version;
-    const routing::call_facts call{.m_class = route->m_class, .m_idempotent = route->m_idempotent};
+    const routing::call_facts call{.m_class = route->m_class,
+                                   .m_urgency = route->m_urgency,
+                                   .m_idempotent = route->m_idempotent};
     std::mt19937_64 random(1);
     reason why;
     const config::service& service = *config->find_service(route->m_service);
--- /dev/null
+++ b/pomelohead/routing/owner_selector_test.cc
@@ -0,0 +1,248 @@
+#include "pomelohead/routing/owner_selector.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace pomelohead::routing {
+namespace {
+
+using namespace std::chrono_literals;
+using config::work_class;
+
+const time_point start_time{1h};
+
+config::snapshot sample(std::size_t targets)
+{
+    static const char* const domains[] = {"bala", "dolgellau", "porthmadog"};
+    config::service service;
+    service.m_name = "rota";
+    for (std::size_t i = 0; i < targets; ++i) {
+        config::target target;
+        target.m_name = "rota-" + std::to_string(i);
+        target.m_failure_domain = domains[i % std::size(domains)];
+        target.m_slots = 9;
+        service.m_targets.push_back(target);
+    }
+    config::snapshot config;
+    config.m_services = {service};
+    return config;
+}
+
+// An entry in "bala" that counts its choices.
+struct bench_entry {
+    explicit bench_entry(std::size_t targets, const routing_options& options = {})
+        : m_config(sample(targets)), m_selector(options, "bala", "gwynedd")
+    {
+    }
+
+    std::optional<std::string> choose(const std::vector<std::string>& excluded = {})
+    {
+        reason why;
+        const auto chosen = m_selector.choose(m_config, m_config.m_services[0], m_call, excluded,
+                                              m_reachable, m_now, m_random, why);
+        BOOST_TEST((chosen.has_value() || why.m_code == reason_code::unreachable));
+        return chosen ? std::optional(chosen->m_name) : std::nullopt;
+    }
+
+    // Calls one after the other; the latency of a target is told by `latency_of`.
+    std::map<std::string, int> run(int calls,
+                                   const std::function<duration(const std::string&)>& latency_of)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < calls; ++i) {
+            const std::string target = *choose();
+            ++counts[target];
+            m_selector.started(target, work_class::short_work, m_now);
+            m_now += latency_of(target);
+            m_selector.finished(target, work_class::short_work, attempt_result::answered,
+                                latency_of(target), m_now);
+        }
+        return counts;
+    }
+
+    void say(const std::string& target, std::uint32_t free, std::uint32_t queued,
+             std::uint64_t incarnation = 1, bool draining = false)
+    {
+        m_selector.heard(target,
+                         {{.m_free = free, .m_queued = queued}, incarnation, draining, m_now});
+    }
+
+    config::snapshot m_config;
+    owner_selector m_selector;
+    call_facts m_call;
+    reachable_fn m_reachable;
+    time_point m_now = start_time;
+    std::mt19937_64 m_random{1};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(targets_that_may_not_be_used_are_never_chosen)
+{
+    struct left_out_case {
+        const char* m_name;
+        void (*m_leave_out)(bench_entry&);
+        std::vector<std::string> m_excluded;
+    };
+    const left_out_case cases[] = {
+        {"excluded", [](bench_entry&) {}, {"rota-1"}},
+        {"drained by the configuration",
+         [](bench_entry& e) {
+             e.m_config.m_drains = {{"rota-1", ""}};
+         },
+         {}},
+        {"drained by its owner", [](bench_entry& e) { e.say("rota-1", 9, 0, 1, true); }, {}},
+        {"unreachable",
+         [](bench_entry& e) {
+             e.m_reachable = [](const config::target& t) { return t.m_name != "rota-1"; };
+         },
+         {}},
+    };
+    for (const left_out_case& c : cases) {
+        for (const bool power_of_two : {true, false}) {
+            BOOST_TEST_CONTEXT(c.m_name << ", power of two " << power_of_two)
+            {
+                routing_options options;
+                options.m_power_of_two = power_of_two;
+                bench_entry entry(3, options);
+                c.m_leave_out(entry);
+                for (int i = 0; i < 300; ++i) {
+                    BOOST_TEST(*entry.choose(c.m_excluded) != "rota-1");
+                }
+                bench_entry alone(2, options);
+                c.m_leave_out(alone);
+                std::vector<std::string> excluded = c.m_excluded;
+                excluded.emplace_back("rota-0");
+                BOOST_TEST(!alone.choose(excluded).has_value());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_own_failure_domain_goes_first_until_its_queue_costs_more)
+{
+    bench_entry entry(3);
+    for (const char* target : {"rota-0", "rota-1", "rota-2"}) {
+        entry.say(target, 9, 0);
+    }
+    for (int i = 0; i < 50; ++i) {
+        BOOST_TEST(*entry.choose() == "rota-0");
+    }
+    entry.say("rota-0", 0, 20);
+    for (int i = 0; i < 50; ++i) {
+        BOOST_TEST(*entry.choose() != "rota-0");
+    }
+    // Where the others are in another region, the same queue is worth waiting for.
+    entry.m_selector.set_regions({{"dolgellau", "quebec"}, {"porthmadog", "quebec"}});
+    entry.say("rota-0", 0, 8);
+    BOOST_TEST(*entry.choose() == "rota-0");
+}
+
+BOOST_AUTO_TEST_CASE(urgent_calls_look_at_the_urgent_queue)
+{
+    bench_entry entry(2);
+    entry.m_selector.heard("rota-0",
+                           {{.m_queued = 30, .m_urgent_queued = 0}, 1, false, start_time});
+    entry.m_selector.heard("rota-1",
+                           {{.m_queued = 20, .m_urgent_queued = 20}, 1, false, start_time});
+    entry.m_call.m_urgency = config::urgency::urgent;
+    BOOST_TEST(*entry.choose() == "rota-0");
+    entry.m_call.m_urgency = config::urgency::normal;
+    BOOST_TEST(*entry.choose() == "rota-1");
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_target_is_noticed_within_tens_of_calls_and_comes_back)
+{
+    routing_options options;
+    options.m_local_preference = false;
+    bench_entry entry(7, options);
+    bool is_slow = false;
+    const auto latency = [&](const std::string& target) -> duration {
+        return target == "rota-3" && is_slow ? 200ms : 20ms;
+    };
+    const int usual = entry.run(700, latency)["rota-3"];
+    BOOST_TEST(usual > 50);
+    is_slow = true;
+    BOOST_TEST(entry.run(700, latency)["rota-3"] < 30);
+    // Less, not nothing: it is tried from time to time.
+    BOOST_TEST(entry.run(3000, latency)["rota-3"] > 0);
+    is_slow = false;
+    entry.run(500, latency);
+    BOOST_TEST(entry.run(700, latency)["rota-3"] > usual / 2);
+}
+
+BOOST_AUTO_TEST_CASE(outstanding_calls_that_overstay_mark_a_target_without_an_answer)
+{
+    routing_options options;
+    options.m_local_preference = false;
+    bench_entry entry(3, options);
+    entry.run(300, [](const std::string&) { return 20ms; });
+    entry.m_selector.started("rota-1", work_class::short_work, entry.m_now);
+    entry.m_selector.started("rota-1", work_class::short_work, entry.m_now);
+    entry.m_now += 100ms;
+    int chosen = 0;
+    for (int i = 0; i < 300; ++i) {
+        chosen += *entry.choose() == "rota-1" ? 1 : 0;
+    }
+    BOOST_TEST(chosen < 15);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_target_gets_everything_however_slow)
+{
+    bench_entry entry(1);
+    entry.run(20, [](const std::string&) { return 5s; });
+    BOOST_TEST(*entry.choose() == "rota-0");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_returns_slowly_and_old_words_count_for_nothing)
+{
+    routing_options options;
+    options.m_local_preference = false;
+    bench_entry entry(3, options);
+    for (const char* target : {"rota-0", "rota-1", "rota-2"}) {
+        entry.say(target, 9, 0);
+    }
+    entry.say("rota-1", 9, 0, 2);
+    entry.say("rota-1", 9, 0, 1, true); // the one before it, heard late
+    int at_first = 0;
+    int later = 0;
+    for (int i = 0; i < 300; ++i) {
+        at_first += *entry.choose() == "rota-1" ? 1 : 0;
+    }
+    entry.m_now += 10s;
+    for (int i = 0; i < 300; ++i) {
+        later += *entry.choose() == "rota-1" ? 1 : 0;
+    }
+    BOOST_TEST(at_first < 15);
+    BOOST_TEST(later > 50);
+}
+
+BOOST_AUTO_TEST_CASE(choices_are_a_function_of_the_calls_and_the_generator)
+{
+    bench_entry first(7);
+    bench_entry second(7);
+    for (int i = 0; i < 500; ++i) {
+        const std::string target = *first.choose();
+        BOOST_REQUIRE(target == *second.choose());
+        first.m_selector.started(target, work_class::short_work, first.m_now);
+        second.m_selector.started(target, work_class::short_work, second.m_now);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_explanation_names_each_target_and_why)
+{
+    bench_entry entry(3);
+    entry.m_config.m_drains = {{"rota-2", ""}};
+    entry.say("rota-0", 3, 0);
+    const auto lines = entry.m_selector.explain(entry.m_config, entry.m_config.m_services[0],
+                                                entry.m_call, {}, entry.m_now);
+    BOOST_REQUIRE(lines.size() == 3U);
+    BOOST_TEST(lines[0].m_eligible);
+    BOOST_TEST(lines[0].m_free == 3.0);
+    BOOST_TEST(lines[2].m_draining);
+    BOOST_TEST(!lines[2].m_eligible);
+    BOOST_TEST(lines[2].m_why == "drained by the configuration");
+}
+
+} // namespace pomelohead::routing
--- a/pomelohead/routing/retry_budget.cc
+++ b/pomelohead/routing/retry_budget.cc
@@ -4,9 +4,10 @@
 
 namespace pomelohead::routing {
 
-retry_budget::retry_budget(double share_of_successes, double floor_per_s, double cap)
+retry_budget::retry_budget(double share_of_successes, double floor_per_s, double cap,
+                           double initial)
     : m_share(share_of_successes), m_floor_per_s(floor_per_s), m_cap(cap),
-      m_tokens(std::min(1.0, cap))
+      m_tokens(std::min(initial, cap))
 {
 }
 
--- a/pomelohead/routing/retry_budget.h
+++ b/pomelohead/routing/retry_budget.h
@@ -20,8 +20,9 @@
 /// A token bucket that successes fill.
 class retry_budget {
 public:
-    /// Attempts per success, attempts per second without any, and the most saved up.
-    retry_budget(double share_of_successes, double floor_per_s, double cap);
+    /// Attempts per success, attempts per second without any, the most saved up,
+    /// and what is there at first.
+    retry_budget(double share_of_successes, double floor_per_s, double cap, double initial = 1);
 
     /// Takes one attempt; false: none is left beyond `kept`, a share of the cap
     /// that stays for more urgent calls.
--- a/pomelohead/routing/retry_policy.cc
+++ b/pomelohead/routing/retry_policy.cc
@@ -10,14 +10,17 @@
 
 retry_policy::retry_policy(const routing_options& options)
     : m_options(options),
-      m_resends(options.m_resend_share, options.m_budget_floor_per_s, options.m_budget_cap),
+      // Full at first: a resend costs no target anything, and part of the budget is kept.
+      m_resends(options.m_resend_share, options.m_budget_floor_per_s, options.m_budget_cap,
+                options.m_budget_cap),
       m_retries(options.m_retry_share, options.m_budget_floor_per_s, options.m_budget_cap)
 {
 }
 
 bool retry_policy::may_resend(const call_facts& call, duration elapsed, time_point now)
 {
-    if (elapsed > m_options.m_resend_window) {
+    const bool is_short = call.m_class == config::work_class::short_work;
+    if (is_short && elapsed > m_options.m_resend_window) {
         return false;
     }
     const double kept = call.m_urgency == config::urgency::urgent ? 0 : kept_for_urgent;
--- a/pomelohead/routing/retry_policy.h
+++ b/pomelohead/routing/retry_policy.h
@@ -7,7 +7,7 @@
 // has its own budget.
 //
 //     retry_policy retries(options);
-//     if (retries.may_resend(call, now - arrived, now)) { try_another_owner(); }
+//     if (retries.may_resend(call, waited, now)) { try_another_owner(); }
 //     retries.answered(now);
 #pragma once
 
@@ -22,7 +22,8 @@
 public:
     explicit retry_policy(const routing_options& options);
 
-    /// After an owner refused the call as not run. `elapsed` counts from the call's arrival.
+    /// After an attempt that was truly not run. `elapsed` is how long owners have
+    /// kept the call waiting; zero where no connection was made.
     [[nodiscard]] bool may_resend(const call_facts& call, duration elapsed, time_point now);
 
     /// After an attempt was lost or timed out, with time left for another one.
--- /dev/null
+++ b/pomelohead/routing/retry_policy_test.cc
@@ -0,0 +1,158 @@
+#include "pomelohead/routing/hedge_policy.h"
+#include "pomelohead/routing/retry_policy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <random>
+
+namespace pomelohead::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const time_point start_time{1h};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_budget_is_kept_on_random_calls)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            constexpr double share = 0.05;
+            constexpr double floor_per_s = 0.5;
+            constexpr double cap = 10;
+            retry_budget budget(share, floor_per_s, cap);
+            std::mt19937_64 random(seed);
+            time_point now = start_time;
+            double successes = 0;
+            double taken = 0;
+            for (int i = 0; i < 20'000; ++i) {
+                now += std::chrono::microseconds(random() % 2000);
+                if (random() % 3 != 0) {
+                    budget.success(now);
+                    successes += 1;
+                }
+                const auto depth = static_cast<std::uint32_t>(random() % 3);
+                taken += budget.take(now, depth) ? 1.0 + depth : 0;
+                const std::chrono::duration<double> elapsed = now - start_time;
+                BOOST_REQUIRE(taken <= 1 + successes * share + elapsed.count() * floor_per_s);
+            }
+            BOOST_TEST(taken > successes * share / 2);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_budget_does_not_grow_past_its_cap)
+{
+    retry_budget budget(1.0, 1.0, 3);
+    for (int i = 0; i < 100; ++i) {
+        budget.success(start_time);
+    }
+    int taken = 0;
+    while (budget.take(start_time + 100s)) {
+        ++taken;
+    }
+    BOOST_TEST(taken == 3);
+}
+
+BOOST_AUTO_TEST_CASE(retries_do_not_multiply_down_a_call_chain)
+{
+    // Each level retries as often as its budget allows; the calls at the bottom are
+    // the product over all levels.
+    constexpr std::uint32_t levels = 27;
+    const routing_options options;
+    double at_the_bottom = 1;
+    for (std::uint32_t depth = 0; depth < levels; ++depth) {
+        retry_budget budget(options.m_retry_share, 0, options.m_budget_cap + levels);
+        constexpr int successes = 20'000;
+        int retries = 0;
+        for (int i = 0; i < successes; ++i) {
+            budget.success(start_time);
+            retries += budget.take(start_time, depth) ? 1 : 0;
+        }
+        at_the_bottom *= 1 + static_cast<double>(retries) / successes;
+    }
+    BOOST_TEST(at_the_bottom < 1.1);
+    BOOST_TEST(std::pow(1 + options.m_retry_share, levels) > 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(what_may_be_sent_again)
+{
+    struct again_case {
+        const char* m_name;
+        call_facts m_call;
+        duration m_waited;
+        bool m_resend;
+        bool m_retry;
+    };
+    const auto long_work = config::work_class::long_work;
+    const again_case cases[] = {
+        {"idempotent", {.m_idempotent = true}, 1ms, true, true},
+        {"not idempotent: only what has not run", {.m_idempotent = false}, 1ms, true, false},
+        {"a late resend would make a slow refusal", {.m_idempotent = true}, 16ms, false, true},
+        {"an upload may be sent elsewhere late", {.m_class = long_work}, 10s, true, false},
+    };
+    for (const again_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            retry_policy policy{routing_options{}};
+            for (int i = 0; i < 200; ++i) {
+                policy.answered(start_time);
+            }
+            BOOST_TEST(policy.may_resend(c.m_call, c.m_waited, start_time) == c.m_resend);
+            BOOST_TEST(policy.may_retry(c.m_call, start_time) == c.m_retry);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_entry_may_resend_before_any_success)
+{
+    retry_policy policy{routing_options{}};
+    BOOST_TEST(policy.may_resend(call_facts{}, 0ms, start_time));
+}
+
+BOOST_AUTO_TEST_CASE(urgent_calls_find_resends_that_others_have_not_used_up)
+{
+    retry_policy policy{routing_options{}};
+    for (int i = 0; i < 1000; ++i) {
+        policy.answered(start_time);
+    }
+    const call_facts normal;
+    while (policy.may_resend(normal, 0ms, start_time)) {
+    }
+    const call_facts urgent{.m_urgency = config::urgency::urgent};
+    BOOST_TEST(policy.may_resend(urgent, 0ms, start_time));
+}
+
+BOOST_AUTO_TEST_CASE(only_idempotent_short_calls_are_hedged_within_the_budget)
+{
+    const routing_options options;
+    hedge_policy hedges(options);
+    const call_facts read{.m_idempotent = true};
+    BOOST_TEST(!hedges.delay_for("rota", read, start_time).has_value());
+    constexpr int answered = 10'000;
+    int taken = 0;
+    std::mt19937_64 random(1);
+    for (int i = 0; i < answered; ++i) {
+        hedges.answered("rota", milliseconds(10 + random() % 90), start_time);
+        taken += hedges.take(start_time) ? 1 : 0;
+    }
+    BOOST_TEST(taken <= 1 + answered * options.m_hedge_share);
+    while (hedges.take(start_time)) {
+    }
+    BOOST_TEST(!hedges.delay_for("rota", read, start_time).has_value());
+    for (int i = 0; i < 100; ++i) {
+        hedges.answered("rota", milliseconds(10 + random() % 90), start_time);
+    }
+    const auto delay = hedges.delay_for("rota", read, start_time);
+    BOOST_REQUIRE(delay.has_value());
+    BOOST_TEST((*delay > 80ms && *delay < 130ms));
+    BOOST_TEST(!hedges.delay_for("rota", {.m_idempotent = false}, start_time).has_value());
+    const call_facts upload{.m_class = config::work_class::long_work, .m_idempotent = true};
+    BOOST_TEST(!hedges.delay_for("rota", upload, start_time).has_value());
+    BOOST_TEST(!hedges.delay_for("clock", read, start_time).has_value());
+}
+
+} // namespace pomelohead::routing
