A dying target is known as crashed even while its listener still accepts

Cause: the owner took a lost connection for a crash only where a new connection was refused at once. A process that ends closes its descriptors one after another, so the first look came too early; the crash left no mark, and a resend ended a third target.

Ruled out: taking every lost connection for a crash (a target that closes on one request would have innocent neighbours run apart).

Change: four looks over some 40 ms; idle connections that broke at the same time and a crash that a neighbour found count too.

--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -12,6 +12,9 @@
 // Below the servers' idle limit, so that this side closes first.
 constexpr duration max_idle_time = std::chrono::seconds(30);
 
+// Servers keep a connection longer than this between exchanges.
+constexpr duration recent_use = std::chrono::seconds(1);
+
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -61,6 +64,13 @@
     return connect(m_io, m_where, deadline, why);
 }
 
+bool connection_pool::has_broken() const
+{
+    const time_point recent = clock_type::now() - recent_use;
+    return std::ranges::any_of(
+        m_idle, [&](const auto& c) { return c->m_idle_since >= recent && is_stale(*c); });
+}
+
 void connection_pool::give_back(std::unique_ptr<client_connection> c)
 {
     c->m_idle_since = clock_type::now();
--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -46,6 +46,10 @@
     /// Keeps a connection after a whole exchange.
     void give_back(std::unique_ptr<client_connection> c);
 
+    /// Whether a connection that was in use a moment ago has ended while idle: a sign
+    /// that the other side's process has ended.
+    [[nodiscard]] bool has_broken() const;
+
     /// Drops all idle connections.
     void clear() { m_idle.clear(); }
 
--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -35,6 +35,7 @@
     hang,         // never answers
     large_answer, // 1 MB
     cut_late,     // says 1 MB, sends half, closes
+    die,          // closes without an answer; its listener closes a little later
 };
 
 struct fake_target {
@@ -66,6 +67,12 @@
             return;
         case script::lose:
             break;
+        case script::die:
+            m_dying.spawn([this] {
+                sleep_for(5ms);
+                m_server.close_listener();
+            });
+            break;
         case script::cut:
             e.begin(head, 10, "abc", limit, why);
             break;
@@ -104,6 +111,7 @@
     int m_runs = 0;
     fiber_event m_gone; ///< the owner closed the connection of a hanging request
     http_server m_server;
+    fiber_group m_dying;
 };
 
 config::snapshot_ptr make_config(int targets)
@@ -391,6 +399,24 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_its_targets_ends_two_of_them_at_most)
+{
+    in_mesh(4, [](mesh& m) {
+        for (int i = 1; i <= 4; ++i) {
+            m.at(i).m_target->m_script = script::die;
+        }
+        for (int i = 0; i < 6; ++i) {
+            BOOST_TEST(m.call(http::verb::get, "/get?crash").m_status != 200U);
+        }
+        BOOST_TEST(m.runs() == 2);
+        // Another request is served by the targets that are left.
+        for (int i = 1; i <= 4; ++i) {
+            m.at(i).m_target->m_script = script::answer;
+        }
+        BOOST_TEST(m.call(http::verb::get, "/get").m_status == 200U);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_ticket_runs_once_however_often_it_is_sent)
 {
     in_mesh(2, [](mesh& m) {
--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -4,6 +4,9 @@
 namespace {
 
 constexpr duration probe_limit = std::chrono::milliseconds(200);
+constexpr std::array<duration, 4> probe_pauses = {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(2), std::chrono::milliseconds(10),
+    std::chrono::milliseconds(30)};
 constexpr milliseconds apart_retry_after{1000};
 
 } // namespace
@@ -130,12 +133,29 @@
     return m_flights.size() == 1 && m_flights.begin()->first == id;
 }
 
-bool owned_target::probe_crashed()
+// A process that ends closes its descriptors one after another: the connection of
+// a request may be lost while the listener still accepts. Idle connections that end
+// at the same time, or a listener that is gone a moment later, tell the difference.
+bool owned_target::probe_crashed(std::uint64_t epoch)
 {
-    reason why;
-    const auto probe =
-        connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
-    return probe == nullptr && why.m_code == reason_code::unreachable;
+    for (const duration pause : probe_pauses) {
+        if (pause > duration::zero()) {
+            sleep_for(pause);
+        }
+        if (epoch != m_epoch) {
+            return true; // another request of the epoch has found out
+        }
+        reason why;
+        const auto probe =
+            connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
+        if (probe == nullptr && why.m_code == reason_code::unreachable) {
+            return true;
+        }
+        if (m_pool.has_broken()) {
+            return true;
+        }
+    }
+    return false;
 }
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/owned_target.h
+++ b/pomelohead/forwarding/owned_target.h
@@ -65,8 +65,9 @@
     /// Whether nothing but `id` is running.
     [[nodiscard]] bool runs_alone(std::uint64_t id) const;
 
-    /// Whether the target's process has ended, as far as a new connection tells.
-    [[nodiscard]] bool probe_crashed();
+    /// Whether the target's process of this epoch has ended, after a connection to it
+    /// was lost. Takes some tens of milliseconds where it has not.
+    [[nodiscard]] bool probe_crashed(std::uint64_t epoch);
 
 private:
     struct flight {
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -429,7 +429,7 @@
     }
     const bool lost =
         why.m_code == reason_code::interrupted || why.m_code == reason_code::cancelled;
-    const bool crashed = lost && m_target->probe_crashed();
+    const bool crashed = lost && m_target->probe_crashed(m_epoch);
     feed({.m_kind = owner_event_kind::target_lost,
           .m_cause = crashed ? cause::target_crashed : otherwise});
 }
