--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -186,7 +186,8 @@
                    .m_failure_domain = "d",
                    .m_seed = 1,
                    .m_kept_bytes_per_request = kept_body::min_bytes,
-                   .m_routing = {.m_hedging = false}},
+                   // The verdict must not hang on the speed of the machine.
+                   .m_routing = {.m_hedging = false, .m_resend_window = std::chrono::hours(1)}},
                   {.m_config = [this] { return m_config; },
                    .m_is_alive = [](const std::string&) { return true; },
                    .m_is_host = [](const std::string&) { return true; },
--- a/pomelohead/settings/policy_knobs.cc
+++ b/pomelohead/settings/policy_knobs.cc
@@ -58,6 +58,10 @@
         {"retry_share", r.m_retry_share, 0, 1, "retries per success"},
         {"resend_share", r.m_resend_share, 0, 1,
          "resends of requests refused as not run, per success"},
+        {"resend_window_ms", static_cast<double>(r.m_resend_window.count()), 0, 60000,
+         "how long after its arrival a refused short call may be resent, in ms"},
+        {"slow_ratio", r.m_slow_ratio, 1.1, 100,
+         "how many times slower than its peers a target counts as slow"},
         {"hedge_share", r.m_hedge_share, 0, 1, "hedges per success"},
     };
     std::ranges::sort(knobs, {}, &policy_knob::m_name);
