A target that refuses work is taken for full; restarts measured

Added: one owner down for 200 ms every 2 s under uploads.

A target's refusal gave the slot back at once, so that the owner's word said "free" and drew more. Ruled out: a slower ramp alone (time says nothing about what the target still runs).

Change: run_end::refused sets the owner's limit back to what it runs; it grows from there as at the start. Forwarding tells it for a target's own "not run".

--- a/bench/ablations.cc
+++ b/bench/ablations.cc
@@ -18,6 +18,10 @@
     out.note("head_of_line: short_p99_over_no_uploads", item.m_name, uploads.m_p99_ratio, "ratio");
     out.note("head_of_line: upload_share_of_free_slots", item.m_name, uploads.m_upload_share,
              "share");
+    const restart_figures restarts = measure_restarts(variant, options);
+    out.note("restarts: target_refusals", item.m_name, restarts.m_target_refusals,
+             "calls per restart");
+    out.note("restarts: short_not_answered", item.m_name, restarts.m_not_answered, "share");
     out.note("chains: whole_chains_over_capacity", item.m_name, measure_chains(variant, options),
              "share");
     const slow_targets_figures slow = measure_slow_targets(variant, options);
--- a/bench/head_of_line.cc
+++ b/bench/head_of_line.cc
@@ -68,6 +68,36 @@
     return figures;
 }
 
+restart_figures measure_restarts(const sim_variant& variant, const run_options& options)
+{
+    const duration length = options.m_quick ? 30s : 90s;
+    sim_world world = make_world(rota_service);
+    world.m_end = sim_start + length;
+    const time_point from = sim_start + warm_up;
+    std::size_t index = 0;
+    for (time_point at = from; at + 1s < world.m_end; at += 2s) {
+        world.m_disturbances.push_back(
+            {at, at + 200ms, {index++ % rota_service.m_targets}, 0, true});
+    }
+    const std::vector<arrival> both =
+        merge({short_calls(options, length), uploads(options, length)});
+    const sim_result result = policy_sim(world, variant, both, from, options.m_seed).run();
+    restart_figures figures;
+    figures.m_target_refusals =
+        static_cast<double>(result.m_target_refusals) / static_cast<double>(index);
+    double answered = 0;
+    double calls = 0;
+    for (std::size_t i = 0; i < both.size(); ++i) {
+        if (both[i].m_class == config::work_class::short_work && both[i].m_time >= from &&
+            both[i].m_time < world.m_end - 1s) {
+            calls += 1;
+            answered += result.m_calls[i].m_end == call_result::end::answered ? 1 : 0;
+        }
+    }
+    figures.m_not_answered = 1 - answered / calls;
+    return figures;
+}
+
 int head_of_line(const run_options& options)
 {
     constexpr double max_p99_ratio = 1.5;
--- a/bench/policy_sim.cc
+++ b/bench/policy_sim.cc
@@ -46,7 +46,8 @@
     for (const disturbance& item : m_world.m_disturbances) {
         for (const std::size_t index : item.m_targets) {
             if (item.m_slowdown == 0) {
-                m_events.at(item.m_from, [this, index] { take_down(index); });
+                m_events.at(item.m_from,
+                            [this, index, only = item.m_owners_only] { take_down(index, only); });
                 m_events.at(item.m_until, [this, index] { bring_back(index); });
             }
         }
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -45,6 +45,8 @@
     time_point m_until;
     std::vector<std::size_t> m_targets;
     double m_slowdown = 1; ///< run time is multiplied by it; 0: the targets are down
+    /// With m_slowdown 0: only the owners are down; the targets go on with what they run.
+    bool m_owners_only = false;
 };
 
 /// What does not depend on the policy.
@@ -81,13 +83,14 @@
 
 /// What became of all.
 struct sim_result {
-    std::vector<call_result> m_calls;   ///< in the order of the arrivals
-    double m_useful_work_s = 0;         ///< run time of the attempts that answered
-    double m_extra_work_s = 0;          ///< run time of all others
-    std::uint64_t m_extra_starts = 0;   ///< attempts started beyond one for each answered call
-    std::uint64_t m_false_refusals = 0; ///< refused as not run although started
-    std::uint64_t m_cut_long = 0;       ///< long work that was stopped while it ran
-    double m_long_slot_s = 0;           ///< slot time of long work after m_measure_from
+    std::vector<call_result> m_calls;    ///< in the order of the arrivals
+    double m_useful_work_s = 0;          ///< run time of the attempts that answered
+    double m_extra_work_s = 0;           ///< run time of all others
+    std::uint64_t m_extra_starts = 0;    ///< attempts started beyond one for each answered call
+    std::uint64_t m_false_refusals = 0;  ///< refused as not run although started
+    std::uint64_t m_target_refusals = 0; ///< started above the slots, refused by the target
+    std::uint64_t m_cut_long = 0;        ///< long work that was stopped while it ran
+    double m_long_slot_s = 0;            ///< slot time of long work after m_measure_from
     double m_short_slot_s = 0;
 };
 
@@ -114,6 +117,7 @@
     void offer(std::uint64_t attempt_id);
     void settle(std::size_t owner_index);
     void start(std::uint64_t attempt_id);
+    void refused_by_target(std::uint64_t attempt_id);
     void run_ended(std::uint64_t attempt_id);
     void release(std::uint64_t attempt_id, admission::run_end how);
     void reply(std::uint64_t attempt_id, routing::attempt_result result);
@@ -125,7 +129,7 @@
     void cancel(std::uint64_t attempt_id);
     void plan_hedge(std::size_t call_index);
     void plan_attempt_timeout(std::uint64_t attempt_id);
-    void take_down(std::size_t owner_index);
+    void take_down(std::size_t owner_index, bool owners_only);
     void bring_back(std::size_t owner_index);
     void record_reports();
     void count_slot_time(const attempt& item);
--- a/bench/policy_sim_owner.cc
+++ b/bench/policy_sim_owner.cc
@@ -128,8 +128,20 @@
     item.m_stage = attempt::stage::running;
     item.m_ran = true;
     item.m_run_from = m_events.now();
+    owner& at = *m_owners[item.m_owner];
+    std::erase_if(at.m_left_behind, [this](time_point end) { return end <= m_events.now(); });
+    const std::size_t running = at.m_queue->load() - at.m_queue->word().m_queued -
+                                at.m_queue->word().m_long_queued + at.m_left_behind.size();
+    if (!at.m_left_behind.empty() && running > m_service.m_targets[item.m_owner].m_slots) {
+        ++m_result.m_target_refusals;
+        item.m_ran = false;
+        item.m_run_until = m_events.now();
+        m_events.at(m_events.now(), [this, attempt_id] { refused_by_target(attempt_id); });
+        return;
+    }
     const duration work = m_calls[item.m_call].m_arrival->m_work;
-    m_events.at(run_end_time(item.m_owner, work), [this, attempt_id] { run_ended(attempt_id); });
+    item.m_run_until = run_end_time(item.m_owner, work);
+    m_events.at(item.m_run_until, [this, attempt_id] { run_ended(attempt_id); });
 }
 
 void policy_sim::count_slot_time(const attempt& item)
@@ -151,6 +163,14 @@
     reply(attempt_id, attempt_result::answered);
 }
 
+void policy_sim::refused_by_target(std::uint64_t attempt_id)
+{
+    if (m_attempts[attempt_id]->m_stage == attempt::stage::running) {
+        release(attempt_id, run_end::refused);
+        reply(attempt_id, attempt_result::not_run);
+    }
+}
+
 void policy_sim::release(std::uint64_t attempt_id, run_end how)
 {
     attempt& item = *m_attempts[attempt_id];
@@ -184,13 +204,16 @@
                 [this, attempt_id, result, word] { replied(attempt_id, result, word); });
 }
 
-void policy_sim::take_down(std::size_t owner_index)
+void policy_sim::take_down(std::size_t owner_index, bool owners_only)
 {
     owner& at = *m_owners[owner_index];
     at.m_down = true;
     for (const std::uint64_t id : std::exchange(at.m_held, {})) {
         if (m_attempts[id]->m_stage == attempt::stage::running) {
             count_slot_time(*m_attempts[id]);
+            if (owners_only) {
+                at.m_left_behind.push_back(m_attempts[id]->m_run_until);
+            }
         }
         m_attempts[id]->m_stage = attempt::stage::ended;
         reply(id, attempt_result::failed);
--- a/bench/policy_sim_state.h
+++ b/bench/policy_sim_state.h
@@ -16,6 +16,7 @@
     std::uint64_t m_incarnation = 1;
     bool m_down = false;
     std::vector<std::uint64_t> m_held;
+    std::vector<time_point> m_left_behind; // ends of runs that an earlier owner started
     std::deque<std::pair<time_point, std::uint32_t>> m_reports;
     std::optional<time_point> m_timer;
 };
@@ -47,6 +48,7 @@
     std::uint64_t m_incarnation = 0;
     time_point m_sent;
     time_point m_run_from;
+    time_point m_run_until;
     stage m_stage = stage::sent;
     bool m_delivered = false; // to an owner that was up
     bool m_ran = false;
--- a/bench/scenarios.h
+++ b/bench/scenarios.h
@@ -47,8 +47,19 @@
 [[nodiscard]] head_of_line_figures measure_head_of_line(const sim_variant& variant,
                                                         const run_options& options);
 
+/// The figures of owners that restart in turn while their targets go on.
+struct restart_figures {
+    double m_target_refusals = 0; ///< requests started above a target's slots, per restart
+    double m_not_answered = 0;    ///< share of short calls
+};
+/// head_of_line with one owner down for 200 ms every 2 s.
+[[nodiscard]] restart_figures measure_restarts(const sim_variant& variant,
+                                               const run_options& options);
+
 /// The figures of slow_targets for one variant.
 struct slow_targets_figures {
+    double m_calm_p99_ms = 0;
+    double m_slow_p99_ms = 0;
     double m_p99_ratio = 0; ///< p99 with slowed targets over that without
     double m_p999_ratio = 0;
     double m_extra_work = 0;   ///< run time of extra attempts over useful run time
--- a/bench/slow_targets.cc
+++ b/bench/slow_targets.cc
@@ -58,8 +58,9 @@
     const sim_result slow = policy_sim(slow_world, variant, arrivals, from, options.m_seed).run();
 
     slow_targets_figures figures;
-    figures.m_p99_ratio =
-        short_p99(arrivals, slow, from, until) / short_p99(arrivals, calm, from, until);
+    figures.m_calm_p99_ms = short_p99(arrivals, calm, from, until);
+    figures.m_slow_p99_ms = short_p99(arrivals, slow, from, until);
+    figures.m_p99_ratio = figures.m_slow_p99_ms / figures.m_calm_p99_ms;
     figures.m_p999_ratio = quantile_of(short_latencies(arrivals, slow, from, until), 0.999) /
                            quantile_of(short_latencies(arrivals, calm, from, until), 0.999);
     figures.m_extra_work = slow.m_extra_work_s / slow.m_useful_work_s;
@@ -85,6 +86,8 @@
          {fifo_round_robin(), late_reports, fifo_unbudgeted_retries()}) {
         const slow_targets_figures other = measure_slow_targets(variant, options);
         out.note("short_p99_over_none_slowed", variant.m_name, other.m_p99_ratio, "ratio");
+        out.note("short_p99_over_policy_none_slowed", variant.m_name,
+                 other.m_slow_p99_ms / policy.m_calm_p99_ms, "ratio");
         out.note("extra_work", variant.m_name, other.m_extra_work, "share");
     }
     return out.exit_code();
--- a/pomelohead/admission/request_facts.h
+++ b/pomelohead/admission/request_facts.h
@@ -60,7 +60,8 @@
 /// How a request that held a slot gave it back.
 enum class run_end {
     complete, ///< the target's whole answer: its run time is learned from
-    cut,      ///< cancelled, lost or refused by the target: it teaches nothing
+    cut,      ///< cancelled or lost: it teaches nothing
+    refused,  ///< refused by the target without running it: the target is full
 };
 
 } // namespace pomelohead::admission
--- a/pomelohead/admission/slot_queue.cc
+++ b/pomelohead/admission/slot_queue.cc
@@ -61,22 +61,30 @@
 void slot_queue::advance(time_point now)
 {
     m_now = std::max(m_now, now);
-    if (!m_first_offer) {
-        m_first_offer = now;
+    if (!m_ramp_start) {
+        m_ramp_start = now;
+        m_ramp_base = m_limit;
     }
     if (m_limit < m_slots) {
-        const std::chrono::duration<double> age = m_now - *m_first_offer;
+        const std::chrono::duration<double> age = m_now - *m_ramp_start;
         const std::chrono::duration<double> ramp = m_options.m_slow_start_time;
-        const double share = m_options.m_slow_start_share +
-                             (1 - m_options.m_slow_start_share) * age.count() / ramp.count();
-        const double slots = m_options.m_slow_start ? m_slots * std::min(1.0, share) : m_slots;
-        m_limit = std::max(m_limit, static_cast<std::uint32_t>(slots));
+        const double done = std::min(1.0, age.count() / ramp.count());
+        const double limit = m_ramp_base + (m_slots - m_ramp_base) * done;
+        m_limit = std::max(m_limit, static_cast<std::uint32_t>(limit));
     }
     const std::uint32_t running_short = running() - m_running_long;
     m_long_limit.observe(running_short + count_queued(work_class::short_work), m_running_long,
                          m_now);
 }
 
+// Called after a request that the target refused has given its slot back.
+void slot_queue::set_back(time_point now)
+{
+    m_limit = std::clamp(running(), 1U, std::max(1U, m_slots));
+    m_ramp_base = m_limit;
+    m_ramp_start = now;
+}
+
 bool slot_queue::may_start(work_class work) const
 {
     if (running() >= m_limit) {
@@ -300,6 +308,9 @@
         --m_running_long;
     }
     m_running.erase(it);
+    if (how == run_end::refused && m_options.m_slow_start) {
+        set_back(now);
+    }
     advance(now);
     return start_waiting(now);
 }
--- a/pomelohead/admission/slot_queue.h
+++ b/pomelohead/admission/slot_queue.h
@@ -8,6 +8,10 @@
 // arrival; an account below its floor goes first whatever its urgency. What cannot
 // finish in the time left is neither started nor queued.
 //
+// A new owner begins with few slots, because its target may still run what an earlier
+// owner started; a target that refuses work sets the limit back to what it runs. From
+// there the limit grows to the target's slots over m_slow_start_time.
+//
 // The class does no I/O and reads no clock. Ids that a call returns are decided for
 // good: "start" ids hold a slot until finish(), expired ids never run.
 //
@@ -92,6 +96,7 @@
     };
 
     void advance(time_point now);
+    void set_back(time_point now);
     void start(const request_facts& facts, time_point now);
     std::vector<std::uint64_t> start_waiting(time_point now);
     [[nodiscard]] bool may_start(config::work_class work) const;
@@ -112,7 +117,8 @@
     std::uint32_t m_limit = 0;
     std::uint32_t m_running_long = 0;
     std::uint64_t m_next_sequence = 1;
-    std::optional<time_point> m_first_offer;
+    std::optional<time_point> m_ramp_start; // set by the first offer
+    double m_ramp_base = 0;                 // the limit at that time
     time_point m_now{};
     std::unordered_map<std::uint64_t, running_request> m_running;
     std::vector<queued_request> m_queue;
--- a/pomelohead/admission/slot_queue_test.cc
+++ b/pomelohead/admission/slot_queue_test.cc
@@ -194,6 +194,25 @@
     BOOST_TEST(queue.limit() == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_refuses_work_is_taken_for_full)
+{
+    const admission_options options;
+    slot_queue queue(options, 8);
+    const time_point later = start_time + options.m_slow_start_time;
+    request_facts next = facts(1);
+    next.m_deadline = later + 10s;
+    BOOST_TEST((queue.offer(facts(101), start_time).m_verdict == verdict::start));
+    BOOST_TEST((queue.offer(next, later).m_verdict == verdict::start));
+    BOOST_TEST(queue.limit() == 8U);
+    BOOST_TEST(queue.finish(1, later, run_end::refused).empty());
+    BOOST_TEST(queue.limit() == 1U);
+    BOOST_TEST((queue.offer(next, later).m_verdict == verdict::queued));
+    BOOST_TEST(queue.word().m_free == 0U);
+    const time_point end = later + options.m_slow_start_time;
+    BOOST_TEST(queue.due_starts(end).empty()); // it has waited too long by then
+    BOOST_TEST(queue.limit() == 8U);
+}
+
 BOOST_AUTO_TEST_CASE(a_changed_limit_starts_waiting_work_and_cuts_none)
 {
     slot_queue queue = full_queue(without_slow_start(), 4);
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -273,8 +273,7 @@
         }
         return;
     case owner_action_kind::release_slot:
-        m_target->release(m_id,
-                          m_answered ? admission::run_end::complete : admission::run_end::cut);
+        m_target->release(m_id, m_run_end);
         return;
     case owner_action_kind::withdraw:
         m_target->withdraw(m_id);
@@ -466,6 +465,7 @@
     }
     else if (head.result_int() == 503 && head[not_run_header] == "true") {
         keep_connection();
+        m_run_end = admission::run_end::refused;
         feed({.m_kind = owner_event_kind::target_refused});
     }
     else if (state == body_state::end) {
@@ -500,7 +500,7 @@
     clear_suspicion();
     m_answer = std::make_shared<const outcome::kept_answer>(std::move(answer));
     keep_connection();
-    m_answered = true;
+    m_run_end = admission::run_end::complete;
     feed({.m_kind = owner_event_kind::answer_whole});
 }
 
@@ -531,7 +531,7 @@
     if (state == body_state::end && m_state.m_phase != owner_phase::finished) {
         clear_suspicion();
         keep_connection();
-        m_answered = true;
+        m_run_end = admission::run_end::complete;
         feed({.m_kind = owner_event_kind::answer_whole});
         m_exchange.finish(m_deadline, why);
     }
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -78,7 +78,7 @@
     std::unique_ptr<client_connection> m_connection;
     std::optional<response_reader> m_reader;
     outcome::kept_answer_ptr m_answer; ///< the target's whole answer, where it is small
-    bool m_answered = false;           ///< the target's answer came whole
+    admission::run_end m_run_end = admission::run_end::cut; ///< what its slot is given back with
     time_point m_arrived{};
 };
 
