--- a/pomelohead/distribution/peer_transport.cc
+++ b/pomelohead/distribution/peer_transport.cc
@@ -2,13 +2,9 @@
 // configuration, so that connections of both directions have one type.
 #include "pomelohead/distribution/peer_transport.h"
 
+#include "pomelohead/distribution/peer_link.h"
 #include "pomelohead/runtime/fiber.h"
 
-#include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
-
-#include <deque>
 #include <set>
 
 namespace pomelohead::distribution {
@@ -16,49 +12,18 @@
 
 namespace asio = boost::asio;
 namespace ws = websocketpp;
-
-struct link_config : ws::config::asio_client {
-    using type = link_config;
-    static constexpr std::size_t max_message_size = max_message_bytes;
-    static constexpr std::size_t connection_read_buffer_size = 4'096;
-};
-
-using client_endpoint = ws::client<link_config>;
-using server_endpoint = ws::server<link_config>;
-using connection = ws::connection<link_config>;
+using detail::client_endpoint;
+using detail::connection;
+using detail::frame_header_bytes;
+using detail::link;
+using detail::link_ptr;
+using detail::server_endpoint;
+using detail::uri_of;
 
 constexpr milliseconds sweep_period{1'000};
 constexpr milliseconds close_step{10};
 constexpr int max_close_steps = 100;
 
-struct link {
-    std::shared_ptr<connection> m_connection;
-    std::string m_address; ///< of the other side; empty until its hello
-    bool m_outgoing = false;
-    bool m_open = false;
-    bool m_greeted = false; ///< its hello has come
-    time_point m_made{};
-    time_point m_used{};
-    std::deque<std::string> m_queue; ///< until the connection is open
-};
-
-using link_ptr = std::shared_ptr<link>;
-
-// The size of a frame's header (RFC 6455, section 5.2).
-std::size_t frame_header_bytes(std::size_t payload, bool masked)
-{
-    constexpr std::size_t max_short = 125;
-    constexpr std::size_t max_medium = 65'535;
-    const std::size_t size = payload <= max_short ? 2 : payload <= max_medium ? 4 : 10;
-    return size + (masked ? 4 : 0);
-}
-
-std::string uri_of(const std::string& address, std::uint16_t port)
-{
-    const bool v6 = address.find(':') != std::string::npos;
-    return "ws://" + (v6 ? "[" + address + "]" : address) + ":" + std::to_string(port) + "/";
-}
-
 } // namespace
 
 struct peer_transport::impl {
--- a/pomelohead/distribution/replicator_test.cc
+++ b/pomelohead/distribution/replicator_test.cc
@@ -70,11 +70,11 @@
 BOOST_AUTO_TEST_CASE(the_gate_judges_and_accepts)
 {
     struct gate_case {
-        const char* m_name;
+        const char* m_name = nullptr;
         bundle m_offered;
-        judgement m_judgement;
-        bool m_accepted;
-        reason_code m_code;
+        judgement m_judgement = judgement::take;
+        bool m_accepted = false;
+        reason_code m_code = reason_code::none;
     };
     bundle lacking = sample_bundle(6);
     lacking.m_sections.erase(lacking.m_sections.begin());
@@ -144,7 +144,7 @@
 BOOST_AUTO_TEST_CASE(peers_that_lie_are_found_out_and_do_no_harm)
 {
     struct lie_case {
-        const char* m_name;
+        const char* m_name = nullptr;
         version_id m_claim;
         bundle m_delivered;
     };
--- a/testing/fake_fleet.cc
+++ b/testing/fake_fleet.cc
@@ -1,5 +1,7 @@
 #include "testing/fake_fleet.h"
 
+#include "testing/freezable_timers.h"
+
 #include <algorithm>
 #include <deque>
 
@@ -49,89 +51,9 @@
     return config::make_bundle(result);
 }
 
-// A node's clock: it runs with the fleet's, but its callbacks wait while it is frozen.
-class fake_fleet::node_timers final : public timer_service {
-public:
-    explicit node_timers(timer_service& timers) : m_timers(timers) {}
-
-    [[nodiscard]] time_point now() const override { return m_timers.now(); }
-
-    [[nodiscard]] timer_subscription after(duration delay, std::function<void()> callback) override
-    {
-        auto entry = make_entry(std::move(callback));
-        *entry->m_inner = m_timers.after(delay, [this, entry] { due(entry); });
-        return subscription(entry);
-    }
-
-    [[nodiscard]] timer_subscription every(duration period, std::function<void()> callback) override
-    {
-        auto entry = make_entry(std::move(callback));
-        *entry->m_inner = m_timers.every(period, [this, entry] { due(entry); });
-        return subscription(entry);
-    }
-
-    void freeze() { m_frozen = true; }
-
-    void thaw()
-    {
-        m_frozen = false;
-        const auto waiting = std::exchange(m_waiting, {});
-        for (const auto& entry : waiting) {
-            entry->m_waits = false;
-            run(entry);
-        }
-    }
-
-private:
-    struct entry_data {
-        std::function<void()> m_callback;
-        std::shared_ptr<timer_subscription> m_inner = std::make_shared<timer_subscription>();
-        bool m_cancelled = false;
-        bool m_waits = false;
-    };
-    using entry_ptr = std::shared_ptr<entry_data>;
-
-    static entry_ptr make_entry(std::function<void()> callback)
-    {
-        auto entry = std::make_shared<entry_data>();
-        entry->m_callback = std::move(callback);
-        return entry;
-    }
-
-    static timer_subscription subscription(const entry_ptr& entry)
-    {
-        return timer_subscription([entry] {
-            entry->m_cancelled = true;
-            entry->m_inner->cancel();
-        });
-    }
-
-    static void run(const entry_ptr& entry)
-    {
-        if (!entry->m_cancelled) {
-            entry->m_callback();
-        }
-    }
-
-    void due(const entry_ptr& entry)
-    {
-        if (!m_frozen) {
-            run(entry);
-        }
-        else if (!entry->m_waits) {
-            entry->m_waits = true; // a periodic callback is called once for all it missed
-            m_waiting.push_back(entry);
-        }
-    }
-
-    timer_service& m_timers;
-    bool m_frozen = false;
-    std::deque<entry_ptr> m_waiting;
-};
-
 struct fake_fleet::host {
     distribution::node_identity m_identity;
-    std::unique_ptr<node_timers> m_timers;
+    std::unique_ptr<freezable_timers> m_timers;
     std::unique_ptr<core> m_core; ///< null while the node is dead
     bool m_frozen = false;
     std::deque<std::function<void()>> m_arrived; ///< while frozen
@@ -183,7 +105,7 @@
     at.m_last_applied = 0;
     at.m_frozen = false;
     at.m_arrived.clear();
-    at.m_timers = std::make_unique<node_timers>(m_timers);
+    at.m_timers = std::make_unique<freezable_timers>(m_timers);
     distribution::core_options options;
     options.m_self = at.m_identity;
     options.m_epoch = m_epoch++;
--- a/testing/fake_fleet.h
+++ b/testing/fake_fleet.h
@@ -83,7 +83,6 @@
     [[nodiscard]] const std::vector<std::string>& broken_invariants() const { return m_broken; }
 
 private:
-    class node_timers;
     struct host;
 
     void deliver(const std::string& from, const std::string& to, const std::string& bytes);
