--- a/pomelohead/forwarding/owner_service.h
+++ b/pomelohead/forwarding/owner_service.h
@@ -11,13 +11,18 @@
 //     if (!owner.start(why)) ...
 #pragma once
 
+#include "pomelohead/forwarding/crash_spread.h"
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/forwarding/owned_target.h"
 #include "pomelohead/outcome/ticket.h"
 #include "pomelohead/telemetry/metrics.h"
 
+#include <set>
+
 namespace pomelohead::forwarding {
 
+class owner_exchange;
+
 /// Settings of the owner side.
 struct owner_options {
     endpoint m_listen;               ///< the owner port
@@ -44,13 +49,21 @@
     owner_service(boost::asio::io_context& io, timer_service& timers, metrics& stats,
                   owner_options options, owner_hooks hooks);
 
-    bool start(reason& why) { return m_server.start(why); }
+    bool start(reason& why);
 
     /// Follows a new configuration.
     void apply(const config::snapshot& config);
 
+    /// Judges all requests that have not been handed over again, as after a freeze.
+    void recheck();
+
     [[nodiscard]] http_server& server() { return m_server; }
-    [[nodiscard]] outcome::quarantine& quarantine() { return m_quarantine; }
+    [[nodiscard]] const outcome::quarantine& quarantine() const { return m_quarantine; }
+
+    /// The operator's release of a fingerprint; other owners are told. False if
+    /// nothing is held against it.
+    bool release(const std::string& fingerprint);
+
     [[nodiscard]] const std::map<std::string, std::shared_ptr<owned_target>>& targets() const
     {
         return m_targets;
@@ -69,9 +82,11 @@
     owner_hooks m_hooks;
     body_budget m_body_budget;
     outcome::quarantine m_quarantine;
+    crash_spread m_spread;
     outcome::ticket_ledger m_ledger;
     std::map<std::uint64_t, std::shared_ptr<fiber_event>> m_ticket_ends; ///< by running serial
     std::map<std::string, std::shared_ptr<owned_target>> m_targets;      ///< by name
+    std::set<owner_exchange*> m_exchanges;                               ///< under way
     http_server m_server;
 };
 
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -6,7 +6,14 @@
 namespace pomelohead::node {
 namespace {
 
-constexpr duration member_refresh_period = std::chrono::milliseconds(200);
+constexpr duration refresh_period = std::chrono::milliseconds(200);
+
+// A gap between refreshes above this is a freeze of the process.
+constexpr duration freeze_limit = std::chrono::milliseconds(1000);
+
+// How long a node that woke from a freeze waits for others to confirm what it
+// believes before it goes on alone.
+constexpr duration max_hold = std::chrono::seconds(2);
 
 // Orders the starts of one host's node. Hosts keep nothing, so the wall clock is
 // all that outlives a process; safety does not rest on it (outcome/ticket.h).
@@ -26,7 +33,8 @@
 
 node::node(settings::node_settings settings, boost::asio::io_context& io)
     : m_settings(std::move(settings)), m_timers(io), m_incarnation(make_incarnation()),
-      m_started(m_timers.now()), m_distributor(distribution_options_of(m_settings), m_timers, io),
+      m_started(m_timers.now()), m_freeze(freeze_limit, m_started),
+      m_distributor(distribution_options_of(m_settings), m_timers, io),
       m_members([this] { return m_distributor.members(); }),
       m_shutdown(m_timers, shutdown_options_of(m_settings),
                  [this](lifecycle::shutdown_phase phase) { on_phase(phase); }),
@@ -73,7 +81,7 @@
         !m_entry.start(why)) {
         return false;
     }
-    m_refresh = m_timers.every(member_refresh_period, [this] { m_members.refresh(); });
+    m_refresh = m_timers.every(refresh_period, [this] { refresh(); });
     log_event(log_level::info, "started",
               {{"address", m_settings.m_listen.m_address}, {"incarnation", m_incarnation}});
     return true;
@@ -93,20 +101,45 @@
     return m_members.is_known(address) || (config && config->has_host(address));
 }
 
+void node::refresh()
+{
+    notice_freeze();
+    m_members.refresh();
+    if (m_hold_until && (m_timers.now() >= *m_hold_until || m_distributor.status().m_confirmed)) {
+        m_hold_until.reset();
+    }
+}
+
+// Called before every decision that rests on what may be old, not only by the
+// timer: after a freeze, requests may be looked at before timers are.
+void node::notice_freeze()
+{
+    const std::optional<duration> frozen = m_freeze.observe(m_timers.now());
+    if (!frozen) {
+        return;
+    }
+    m_hold_until = m_timers.now() + max_hold;
+    m_stats.add("freezes_total");
+    log_event(log_level::warning, "woke_from_freeze",
+              {{"seconds", std::chrono::duration<double>(*frozen).count()}});
+    m_owner.recheck();
+}
+
 lifecycle::drain_view node::drain_view_of(const std::string& target) const
 {
     const config::snapshot_ptr config = m_distributor.current();
     lifecycle::drain_view view;
     view.m_in_configuration = config && config->is_draining(target);
     view.m_in_host_list = m_members.is_leaving(m_settings.m_listen.m_address);
-    if (m_drained_by_operator || !lifecycle::accepts_work(m_shutdown.phase())) {
+    if (m_drained_by_operator || m_hold_until || !lifecycle::accepts_work(m_shutdown.phase())) {
         view.m_owner_left = m_incarnation;
     }
     return view;
 }
 
-bool node::is_draining(const std::string& target) const
+bool node::is_draining(const std::string& target)
 {
+    notice_freeze();
     return lifecycle::is_draining(drain_view_of(target), m_incarnation);
 }
 
--- a/pomelohead/routing/retry_budget.cc
+++ b/pomelohead/routing/retry_budget.cc
@@ -4,9 +4,10 @@
 
 namespace pomelohead::routing {
 
-retry_budget::retry_budget(double share_of_successes, double floor_per_s, double cap)
+retry_budget::retry_budget(double share_of_successes, double floor_per_s, double cap,
+                           double initial)
     : m_share(share_of_successes), m_floor_per_s(floor_per_s), m_cap(cap),
-      m_tokens(std::min(1.0, cap))
+      m_tokens(std::min(initial, cap))
 {
 }
 
@@ -20,15 +21,15 @@
     m_started = true;
 }
 
-bool retry_budget::has(time_point now, std::uint32_t depth)
+bool retry_budget::has(time_point now, std::uint32_t depth, double kept)
 {
     refill(now);
-    return m_tokens >= 1.0 + depth;
+    return m_tokens - kept * m_cap >= 1.0 + depth;
 }
 
-bool retry_budget::take(time_point now, std::uint32_t depth)
+bool retry_budget::take(time_point now, std::uint32_t depth, double kept)
 {
-    if (!has(now, depth)) {
+    if (!has(now, depth, kept)) {
         return false;
     }
     m_tokens -= 1.0 + depth;
--- a/pomelohead/routing/retry_budget.h
+++ b/pomelohead/routing/retry_budget.h
@@ -20,14 +20,16 @@
 /// A token bucket that successes fill.
 class retry_budget {
 public:
-    /// Attempts per success, attempts per second without any, and the most saved up.
-    retry_budget(double share_of_successes, double floor_per_s, double cap);
+    /// Attempts per success, attempts per second without any, the most saved up,
+    /// and what is there at first.
+    retry_budget(double share_of_successes, double floor_per_s, double cap, double initial = 1);
 
-    /// Takes one attempt; false: none is left.
-    [[nodiscard]] bool take(time_point now, std::uint32_t depth = 0);
+    /// Takes one attempt; false: none is left beyond `kept`, a share of the cap
+    /// that stays for more urgent calls.
+    [[nodiscard]] bool take(time_point now, std::uint32_t depth = 0, double kept = 0);
 
     /// Whether take() would succeed.
-    [[nodiscard]] bool has(time_point now, std::uint32_t depth = 0);
+    [[nodiscard]] bool has(time_point now, std::uint32_t depth = 0, double kept = 0);
 
     void success(time_point now);
 
