Answers of the source pass the core's queue; a missing section is not called a refusal

Cause: an answer was handed to the core in the read's own fiber, so that a hook that waits could let two fibers into the core; and each retry of a section was logged as version_refused (seen in a trial whose source had gone). Change: answers are posted to the queue; the event is section_unavailable, and the last refusal still names version and reason.

--- a/pomelohead/distribution/distributor.cc
+++ b/pomelohead/distribution/distributor.cc
@@ -162,7 +162,7 @@
                     [this](const source::read_request& request,
                            std::function<void(source::read_answer)> done) {
                         m_fibers.spawn([this, request, done = std::move(done)] {
-                            done(m_source.read(request));
+                            m_queue.post([done, answer = m_source.read(request)] { done(answer); });
                         });
                     },
                 .m_send = [this](const std::string& address,
--- a/pomelohead/distribution/replicator.cc
+++ b/pomelohead/distribution/replicator.cc
@@ -183,7 +183,9 @@
         if (!fetch.m_failed) {
             fetch.m_failed = true;
             fetch.m_next = now + fetch.m_retry.next(m_random);
-            refuse(id.m_version, why);
+            m_hooks.m_log(log_level::warning, "section_unavailable",
+                          "for " + describe(id) + ": " + why.m_text);
+            m_gate.note_refusal(id.m_version, why);
         }
     }
 }
