A returning fleet settles its view before it watches the source; reads back off from 1 s

Cause: after a start a node chose its role 1 to 2 s after its join, from whatever view it had. When all nodes return at once nobody can tell them who lives: 28 of 50 real nodes took themselves for watchers, and in the fleet on a manual clock 32 to 42 of 60 (six wanted). With the source down their retries, from 200 ms on, came together. Ruled out: the seeds (three neighbours each, as in a settings file), which the old fake fleet hid, as there all nodes knew the same six; a longer fixed wait, which would slow every start; settling after two rounds without news, which still gave 24 watchers on a busy machine, as silence was taken for agreement. Change: two random members are asked for their members every 300 ms until answers have brought nobody new for 1 s (5 s at most), then a random wait up to 1 s as before.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -6,15 +6,12 @@
 mesh of peers: every node watches the source, every node polls it.
 """
 import argparse
-import pathlib
 import statistics
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testing"))
-
-import fleet as fleets  # noqa: E402
-from measurement import Report  # noqa: E402
+from common import Report, cpu_s  # first: it sets the path to testing/
+import fleet as fleets
 
 NET = 60
 IN_FORCE_BOUND_S = 9
@@ -38,29 +35,28 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.calls = fleet.source_calls()
-        self.usage = [(time.monotonic(), fleet.usage(host)) for host in fleet.hosts]
+        self.usage = [(fleet.usage(host), cpu_s(host.node), time.monotonic())
+                      for host in fleet.hosts]
         self.begin = time.monotonic()
 
     def end(self):
         """The rates of the window."""
         calls_per_s = (self.fleet.source_calls() - self.calls) / (time.monotonic() - self.begin)
         nodes = []
-        for host, (moment, before) in zip(self.fleet.hosts, self.usage):
+        for host, (before, cpu_before, moment) in zip(self.fleet.hosts, self.usage):
             # Reading the status page costs the node; the processor time is read before it.
-            cpu = fleets.cpu_seconds(host.node.pid)
+            cpu = cpu_s(host.node) - cpu_before
             elapsed = time.monotonic() - moment
-            after = self.fleet.usage(host)
-            after.cpu_s = cpu
-            nodes.append(NodeRates(before, after, elapsed))
+            nodes.append(NodeRates(before, self.fleet.usage(host), cpu, elapsed))
         return Rates(nodes, calls_per_s)
 
 
 class NodeRates:
     """One node's use per second."""
 
-    def __init__(self, before, after, elapsed):
+    def __init__(self, before, after, cpu, elapsed):
         self.control_bytes = (after.control_bytes - before.control_bytes) / elapsed
-        self.cpu = (after.cpu_s - before.cpu_s) / elapsed
+        self.cpu = cpu / elapsed
         self.messages = {name: (count - before.messages[name]) / elapsed
                          for name, count in after.messages.items()}
         self.message_bytes = {name: (count - before.message_bytes[name]) / elapsed
@@ -122,44 +118,44 @@
         return value if mine else None
 
     mean = statistics.mean
-    report.add("in_force_everywhere", name, max(delays), "s", bound(IN_FORCE_BOUND_S))
-    report.add("in_force_median_node", name, statistics.median(delays), "s")
-    report.add("in_force_everywhere_burst", name, max(burst), "s", bound(IN_FORCE_BOUND_S))
-    report.add("control_bytes_idle_mean", name, mean(idle.control_bytes), "B/s")
-    report.add("control_bytes_idle_max", name, max(idle.control_bytes), "B/s",
+    report.figure("in_force_everywhere", name, max(delays), "s", bound(IN_FORCE_BOUND_S))
+    report.figure("in_force_median_node", name, statistics.median(delays), "s")
+    report.figure("in_force_everywhere_burst", name, max(burst), "s", bound(IN_FORCE_BOUND_S))
+    report.figure("control_bytes_idle_mean", name, mean(idle.control_bytes), "B/s")
+    report.figure("control_bytes_idle_max", name, max(idle.control_bytes), "B/s",
                bound(CONTROL_BOUND_BYTES_PER_S))
-    report.add(f"control_bytes_change_each_{change_period_s}s_max", name,
+    report.figure(f"control_bytes_change_each_{change_period_s}s_max", name,
                max(changing.control_bytes), "B/s")
-    report.add("control_bytes_per_change_mean", name,
+    report.figure("control_bytes_per_change_mean", name,
                (mean(changing.control_bytes) - mean(idle.control_bytes)) * change_period_s, "B")
     at_users_rate = rates_at_users_rate(idle.control_bytes, changing.control_bytes,
                                         change_period_s)
-    report.add("control_bytes_at_users_rate_mean", name, mean(at_users_rate), "B/s")
-    report.add("control_bytes_at_users_rate_max", name, max(at_users_rate), "B/s",
+    report.figure("control_bytes_at_users_rate_mean", name, mean(at_users_rate), "B/s")
+    report.figure("control_bytes_at_users_rate_max", name, max(at_users_rate), "B/s",
                bound(CONTROL_BOUND_BYTES_PER_S))
-    report.add("cpu_idle_mean", name, 100 * mean(idle.cpu), "% of a core",
+    report.figure("cpu_idle_mean", name, 100 * mean(idle.cpu), "% of a core",
                bound(CPU_BOUND_PERCENT))
-    report.add(f"cpu_change_each_{change_period_s}s_max", name, 100 * max(changing.cpu),
+    report.figure(f"cpu_change_each_{change_period_s}s_max", name, 100 * max(changing.cpu),
                "% of a core")
-    report.add("cpu_per_change_mean", name,
+    report.figure("cpu_per_change_mean", name,
                1000 * (mean(changing.cpu) - mean(idle.cpu)) * change_period_s, "ms")
-    report.add("cpu_at_users_rate_max", name,
+    report.figure("cpu_at_users_rate_max", name,
                100 * max(rates_at_users_rate(idle.cpu, changing.cpu, change_period_s)),
                "% of a core", bound(CPU_BOUND_PERCENT))
-    report.add("memory_max", name, max(memory), "MiB", bound(MEMORY_BOUND_MIB))
-    report.add("memory_mean", name, mean(memory), "MiB")
-    report.add("source_calls_idle", name, idle.source_calls, "calls/s")
-    report.add(f"source_calls_change_each_{change_period_s}s", name, changing.source_calls,
+    report.figure("memory_max", name, max(memory), "MiB", bound(MEMORY_BOUND_MIB))
+    report.figure("memory_mean", name, mean(memory), "MiB")
+    report.figure("source_calls_idle", name, idle.source_calls, "calls/s")
+    report.figure(f"source_calls_change_each_{change_period_s}s", name, changing.source_calls,
                "calls/s")
     for kind, rate in idle.messages.items():
-        report.add(f"sent_idle_{kind}", name, rate, "messages/s")
-        report.add(f"sent_per_change_{kind}", name,
+        report.figure(f"sent_idle_{kind}", name, rate, "messages/s")
+        report.figure(f"sent_per_change_{kind}", name,
                    (changing.messages[kind] - rate) * change_period_s, "messages")
     for kind, rate in idle.message_bytes.items():
-        report.add(f"bytes_idle_{kind}", name, rate, "B/s")
-        report.add(f"bytes_per_change_{kind}", name,
+        report.figure(f"bytes_idle_{kind}", name, rate, "B/s")
+        report.figure(f"bytes_per_change_{kind}", name,
                    (changing.message_bytes[kind] - rate) * change_period_s, "B")
-    report.add("rollbacks", name, len(rollbacks), "steps back", bound(0))
+    report.figure("rollbacks", name, len(rollbacks), "steps back", bound(0))
 
 
 def main():
@@ -172,7 +168,7 @@
     sizes = options.nodes if options.nodes is not None else (
         [25, 50] if options.quick else [25, 50, 100, 200])
     baselines = options.baseline_nodes if options.baseline_nodes is not None else (
-        [] if options.quick else [50, 200])
+        [] if options.quick else [200])
     window_s, change_period_s = (4, 1) if options.quick else (20, 4)
     report = Report("convergence", options.seed)
     for nodes in sizes:
@@ -180,7 +176,7 @@
     for variant in ("every-node-watches", "every-node-polls"):
         for nodes in baselines:
             measure(report, variant, nodes, window_s, change_period_s, options.seed)
-    sys.exit(report.exit_code())
+    sys.exit(1 if report.missed else 0)
 
 
 if __name__ == "__main__":
--- a/bench/herd.py
+++ b/bench/herd.py
@@ -6,14 +6,11 @@
 500 nodes to the fleet measured.
 """
 import argparse
-import pathlib
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "testing"))
-
-import fleet as fleets  # noqa: E402
-from measurement import Report  # noqa: E402
+from common import Report  # first: it sets the path to testing/
+import fleet as fleets
 
 NET = 61
 SOURCE_CALLS_PER_S = 2000
@@ -47,12 +44,12 @@
     def add(self, scenario, watch, returned_s, bound_s):
         name = f"{self.variant}/{len(self.fleet.hosts)}/{scenario}"
         calls_bound = SOURCE_CALLS_PER_S / 2 * len(self.fleet.hosts) / USERS_NODES
-        self.report.add("source_calls_most_in_1s", name, watch.most_in_one_second(), "calls/s",
+        self.report.figure("source_calls_most_in_1s", name, watch.most_in_one_second(), "calls/s",
                         self.bound(calls_bound))
-        self.report.add("source_calls_total", name, watch.total(), "calls")
-        self.report.add("newest_on_all_after_start", name, returned_s, "s",
+        self.report.figure("source_calls_total", name, watch.total(), "calls")
+        self.report.figure("newest_on_all_after_start", name, returned_s, "s",
                         self.bound(bound_s))
-        self.report.add("rollbacks", name, len(self.fleet.rollbacks()), "steps back", 0)
+        self.report.figure("rollbacks", name, len(self.fleet.rollbacks()), "steps back", 0)
 
     def all_return(self):
         """All nodes die; a version is published while they start again."""
@@ -65,7 +62,7 @@
             returned = self.wait_newest(self.fleet.hosts, began)
             time.sleep(self.settle_s)
         name = f"{self.variant}/{len(self.fleet.hosts)}/all-return"
-        self.report.add("processes_started", name, started_s, "s")
+        self.report.figure("processes_started", name, started_s, "s")
         self.add("all-return", watch, returned, IN_FORCE_BOUND_S)
 
     def all_return_without_source(self):
@@ -140,7 +137,7 @@
     measure(report, "peers", nodes, options.seed, settle_s, outage_s)
     if not options.quick and not options.no_baseline:
         measure(report, "every-node-watches", nodes, options.seed, settle_s, outage_s)
-    sys.exit(report.exit_code())
+    sys.exit(1 if report.missed else 0)
 
 
 if __name__ == "__main__":
--- a/pomelohead/distribution/core.cc
+++ b/pomelohead/distribution/core.cc
@@ -10,6 +10,13 @@
 // Seeds, and then members, that a starting node asks.
 constexpr std::size_t max_first_asked = 3;
 
+// Members asked for members in one round while the view settles: what a node knows
+// grows up to threefold in a round, so that the rounds grow with the fleet's logarithm.
+constexpr std::size_t asked_in_round = 2;
+
+// Answers in a row without anybody new that show a settled view.
+constexpr unsigned answers_settled = 2;
+
 membership::member self_of(const core_options& options)
 {
     return {.m_node = options.m_self.m_node,
@@ -121,15 +128,55 @@
 void core::finish_join()
 {
     m_joined = true;
-    m_watch_from = now();
     if (!m_options.m_seeds.empty() && m_options.m_gossip_enabled) {
-        m_settle_question = now() + m_options.m_settle / 2;
-        m_watch_from = now() + m_options.m_settle + random_up_to(m_options.m_settle);
+        m_settling = settling{.m_next_round = now(),
+                              .m_deadline = now() + m_options.m_settle_limit,
+                              .m_changed = now(),
+                              .m_known = 0,
+                              .m_answers = 0};
+    }
+    else {
+        m_watch_from = now();
     }
     m_versions.allow_first(true, now());
     decide_role();
 }
 
+void core::note_settling(bool answered)
+{
+    if (!m_settling) {
+        return;
+    }
+    const std::size_t known = m_gossip.table().present().size();
+    if (known != m_settling->m_known) {
+        m_settling->m_known = known;
+        m_settling->m_changed = now();
+        m_settling->m_answers = 0;
+    }
+    else if (answered) {
+        m_settling->m_answers += 1;
+    }
+}
+
+void core::settle()
+{
+    if (!m_settling || now() < m_settling->m_next_round) {
+        return;
+    }
+    note_settling(false);
+    const bool quiet = m_settling->m_answers >= answers_settled &&
+                       now() - m_settling->m_changed >= m_options.m_settle_quiet;
+    if (quiet || now() >= m_settling->m_deadline) {
+        m_settling.reset();
+        m_watch_from = now() + random_up_to(m_options.m_settle);
+        return;
+    }
+    m_settling->m_next_round = now() + m_options.m_settle_round;
+    for (const std::string& address : m_gossip.table().sample(asked_in_round, m_random)) {
+        m_hooks.m_send(address, join_request{});
+    }
+}
+
 void core::tick()
 {
     check_freeze();
@@ -140,12 +187,7 @@
     if (!m_options.m_gossip_enabled) {
         return;
     }
-    if (m_settle_question && now() >= *m_settle_question) {
-        m_settle_question.reset();
-        for (const std::string& address : m_gossip.table().sample(1, m_random)) {
-            m_gossip.ask_for_members(address, now());
-        }
-    }
+    settle();
     m_gossip.tick(now());
     decide_role();
     read_source_if_silent();
@@ -178,7 +220,7 @@
 
 void core::decide_role()
 {
-    if (!m_joined || now() < m_watch_from) {
+    if (!m_joined || !m_watch_from || now() < *m_watch_from) {
         return;
     }
     const membership::member_table& table = m_gossip.table();
--- a/pomelohead/distribution/core.h
+++ b/pomelohead/distribution/core.h
@@ -6,8 +6,10 @@
 // calls it, and it calls the hooks, in one thread.
 //
 // A start: ask some seeds, then some of the members that they know; put nothing in
-// force until they answered or the time for it is over; let the view of the fleet
-// settle; only then see whether this node is one of its failure domain's watchers.
+// force until they answered or the time for it is over; ask members for members
+// until nobody new turns up; only then see whether this node is one of its failure
+// domain's watchers. When a whole fleet starts at once, a node with half a view would
+// take itself for a watcher, and the source would be read by half of the fleet.
 //
 // A freeze of the process shows as a tick that comes far too late. All that was
 // believed before is then old until a ping sent after it is answered.
@@ -41,9 +43,12 @@
     bool m_gossip_enabled = true;     ///< false: every node watches the source, alone
     milliseconds m_tick{200};         ///< between looks at what is due
     milliseconds m_join_limit{1'500}; ///< for the answers of the nodes first asked
-    milliseconds m_settle{1'000};     ///< from then until this node may watch; up to twice that
-    milliseconds m_silence{10'000};   ///< without word from any peer: read the source
-    milliseconds m_stale{60'000};     ///< without word of the source: read it
+    milliseconds m_settle{1'000}; ///< from a settled view of the fleet until this node may watch
+    milliseconds m_settle_round{300};   ///< between questions for members until the view settles
+    milliseconds m_settle_quiet{1'000}; ///< without anybody new, the view has settled
+    milliseconds m_settle_limit{5'000}; ///< after the join the view counts as settled
+    milliseconds m_silence{10'000};     ///< without word from any peer: read the source
+    milliseconds m_stale{60'000};       ///< without word of the source: read it
     milliseconds m_own_read_period{30'000}; ///< between such reads, up to three times that
     milliseconds m_freeze{3'000};           ///< a tick so late shows a freeze
     milliseconds m_confirm_limit{5'000};    ///< after a freeze with nobody answering: go on alone
@@ -107,6 +112,8 @@
     void decide_role();
     void read_source_if_silent();
     void finish_join();
+    void settle();
+    void note_settling(bool answered);
     void answered_join(const std::string& address);
     void on_in_force(const config::snapshot_ptr& config);
     void on_source_confirmed();
@@ -145,8 +152,18 @@
     bool m_asked_members = false;
     bool m_joined = false;
     time_point m_join_deadline{};
-    std::optional<time_point> m_settle_question; // when to ask for members once more
-    time_point m_watch_from{};
+    // The view of the fleet settles by rounds of questions to random members, until
+    // some answers bring nobody new for a while. Silence alone shows nothing: the
+    // others may be starting too.
+    struct settling {
+        time_point m_next_round;
+        time_point m_deadline;
+        time_point m_changed; // when somebody new turned up last
+        std::size_t m_known = 0;
+        unsigned m_answers = 0; // since then
+    };
+    std::optional<settling> m_settling;
+    std::optional<time_point> m_watch_from; // none until the view has settled
 
     std::optional<time_point> m_source_confirmed;
     version_id m_claimed; // the newest version that a peer has, and when the source confirmed it
--- a/pomelohead/distribution/core_messages.cc
+++ b/pomelohead/distribution/core_messages.cc
@@ -125,6 +125,7 @@
 void core::handle(const std::string& from, const member_list& item)
 {
     m_gossip.on_updates(item.m_members, now());
+    note_settling(true);
     on_summary(from, item.m_summary, false);
     answered_join(from);
 }
--- a/pomelohead/source/backoff.h
+++ b/pomelohead/source/backoff.h
@@ -17,7 +17,7 @@
 
 /// The bounds of a backoff.
 struct backoff_options {
-    milliseconds m_base{200};     ///< bound of the first wait
+    milliseconds m_base{1'000};   ///< bound of the first wait
     milliseconds m_limit{15'000}; ///< no bound is above this
 
     bool operator==(const backoff_options&) const = default;
--- a/testing/fake_fleet.cc
+++ b/testing/fake_fleet.cc
@@ -12,6 +12,7 @@
 
 constexpr milliseconds min_delay{1};
 constexpr std::size_t seeds_of_each_domain = 2;
+constexpr std::size_t ring_seeds = 3;
 
 config::snapshot sample_snapshot(config::version_number version, const std::string& salt)
 {
@@ -176,6 +177,26 @@
     return added;
 }
 
+std::vector<std::string> fake_fleet::seeds_of(const std::string& address) const
+{
+    std::vector<std::string> seeds;
+    if (m_ring_seeds) {
+        auto next = m_hosts.find(address);
+        for (std::size_t i = 0; i < ring_seeds; ++i) {
+            next = std::next(next) == m_hosts.end() ? m_hosts.begin() : std::next(next);
+            seeds.push_back(next->first);
+        }
+        return seeds;
+    }
+    for (const auto& [seed_address, other] : m_hosts) {
+        const std::string number = seed_address.substr(seed_address.rfind('.') + 1);
+        if (std::stoul(number) <= seeds_of_each_domain) {
+            seeds.push_back(seed_address);
+        }
+    }
+    return seeds;
+}
+
 void fake_fleet::start(const std::string& address)
 {
     host& at = *m_hosts.at(address);
@@ -187,12 +208,7 @@
     distribution::core_options options;
     options.m_self = at.m_identity;
     options.m_epoch = m_epoch++;
-    for (const auto& [seed_address, other] : m_hosts) {
-        const std::string number = seed_address.substr(seed_address.rfind('.') + 1);
-        if (std::stoul(number) <= seeds_of_each_domain) {
-            options.m_seeds.push_back(seed_address);
-        }
-    }
+    options.m_seeds = seeds_of(address);
     const std::uint64_t life = at.m_life;
     at.m_core = std::make_unique<core>(
         options, *at.m_timers,
--- a/testing/fake_fleet.h
+++ b/testing/fake_fleet.h
@@ -48,6 +48,8 @@
     /// Messages from `a` to `b` are lost until heal().
     void cut_one_way(const std::vector<std::string>& a, const std::vector<std::string>& b);
     void heal();
+    /// Nodes started from now on know only the next three hosts, in the order of addresses.
+    void use_ring_seeds() { m_ring_seeds = true; }
     void set_loss(double share) { m_loss = share; }
     void set_max_delay(duration delay) { m_max_delay = delay; }
 
@@ -86,6 +88,7 @@
     class node_timers;
     struct host;
 
+    [[nodiscard]] std::vector<std::string> seeds_of(const std::string& address) const;
     void deliver(const std::string& from, const std::string& to, const std::string& bytes);
     void send(const std::string& from, const std::string& to, const distribution::message& item);
     void greet(const std::string& from, const std::string& to);
@@ -99,6 +102,7 @@
     std::set<std::pair<std::string, std::string>> m_cuts;    // from, to
     std::set<std::pair<std::string, std::string>> m_greeted; // from, to
     std::map<std::pair<config::version_number, std::string>, config::snapshot> m_published;
+    bool m_ring_seeds = false;
     double m_loss = 0;
     duration m_max_delay = milliseconds(3);
     std::size_t m_bytes = 0;
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -26,7 +26,6 @@
 CLOCK_STEP_S = 0.002  # of the logs' times
 NODES_PER_START = 25
 PAUSE_BETWEEN_STARTS_S = 0.2
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 DOMAINS = ("dolgellau", "bala", "porthmadog")
 IN_FORCE = re.compile(r'"time":"([^"]+)".*"event":"version_in_force".*version (\d+)')
@@ -43,10 +42,9 @@
 
 
 class Usage:
-    """What one node had used up at one moment."""
+    """What one node had sent and received at one moment."""
 
-    def __init__(self, cpu_s, status):
-        self.cpu_s = cpu_s
+    def __init__(self, status):
         self.control_bytes = status["control_bytes_sent"] + status["control_bytes_received"]
         self.messages = {name: counts["sent"] for name, counts in status["messages"].items()}
         self.message_bytes = {name: counts["sent_bytes"] + counts["received_bytes"]
@@ -171,20 +169,13 @@
         return found
 
     def usage(self, host):
-        """What a node has used up so far; reading it costs the node a little itself."""
-        status = self.admin(host, "/status")
-        return Usage(cpu_seconds(host.node.pid), status)
+        """A node's traffic so far; reading it costs the node some processor time."""
+        return Usage(self.admin(host, "/status"))
 
     def source_calls(self):
         return self.platform_call("GET", "/stats")["calls"]
 
 
-def cpu_seconds(pid):
-    """User and system time of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
-
-
 def resident_mib(pid):
     """Resident memory of a process."""
     pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
@@ -196,11 +187,6 @@
     return [host for host in hosts if fleet.admin(host, "/status")["source"]["watching"]]
 
 
-def percentile(values, share):
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 class CallWatch:
     """Follows the calls that the source gets, to find the most in any one second.
 
