Convergence bench: a configuration larger than the fleet of nodes

Cause: the users' 500 targets in 38 services shall be measured without 500 processes. Ruled out: fewer, larger services, as the cost of a change is that of one section.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -83,9 +83,12 @@
             for before, after in zip(idle, changing)]
 
 
-def measure(report, variant, nodes, window_s, change_period_s, seed):
+def measure(report, variant, nodes, window_s, change_period_s, options):
     name = f"{variant}/{nodes}"
-    with fleets.Fleet(NET, nodes, VARIANTS[variant], seed) as fleet:
+    if options.targets:
+        name += f"/{options.targets}-targets"
+    with fleets.Fleet(NET, nodes, VARIANTS[variant], options.seed,
+                      targets=options.targets) as fleet:
         fleet.start_fleet()
         time.sleep(SETTLE_S)
 
@@ -164,6 +167,8 @@
     parser.add_argument("--quick", action="store_true", help="ends within 45 s")
     parser.add_argument("--nodes", type=int, nargs="*", help="sizes of the fleet")
     parser.add_argument("--baseline-nodes", type=int, nargs="*", help="sizes for the baselines")
+    parser.add_argument("--targets", type=int,
+                        help="targets in the configuration; by default one for each node")
     options = parser.parse_args()
     sizes = options.nodes if options.nodes is not None else (
         [25, 50] if options.quick else [25, 50, 100, 200])
@@ -172,10 +177,10 @@
     window_s, change_period_s = (4, 1) if options.quick else (20, 4)
     report = Report("convergence", options.seed)
     for nodes in sizes:
-        measure(report, "peers", nodes, window_s, change_period_s, options.seed)
+        measure(report, "peers", nodes, window_s, change_period_s, options)
     for variant in ("every-node-watches", "every-node-polls"):
         for nodes in baselines:
-            measure(report, variant, nodes, window_s, change_period_s, options.seed)
+            measure(report, variant, nodes, window_s, change_period_s, options)
     sys.exit(1 if report.missed else 0)
 
 
--- a/testing/cluster.py
+++ b/testing/cluster.py
@@ -183,14 +183,14 @@
                  for h in self.hosts]
         self.platform_call("PUT", "/v1/values/hosts", json.dumps(hosts))
 
-    def sheet(self, routes, drains=(), sheds=()):
+    def sheet(self, routes, drains=(), sheds=(), hosts=None):
         """A sheet's text: routes are CSV rows, targets are the hosts' own."""
         blocks = [
             ("routes", "route,account,method,path,service,class,idempotent,urgency,deadline_ms",
              routes),
             ("targets", "target,service,host,port,failure_domain,slots,connections",
              [f"{h.name},{h.service},{h.address},{TARGET_PORT},{h.domain},{h.slots},"
-              f"{h.connections}" for h in self.hosts]),
+              f"{h.connections}" for h in hosts or self.hosts]),
             ("drains", "target,note", [f"{name},planned" for name in drains]),
             ("sheds", "account,class,from_urgency,load_percent", list(sheds))]
         return "\n".join("\n".join([title, header, *rows, ""])
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -55,15 +55,19 @@
 class Fleet(cluster.Cluster):
     """Nodes in failure domains, and the platform's stand-in."""
 
-    def __init__(self, net, nodes, policy=None, seed=1, domains=DOMAINS):
+    def __init__(self, net, nodes, policy=None, seed=1, domains=DOMAINS, targets=None):
+        """`targets`: in the configuration; those above `nodes` have no node."""
         super().__init__(net, policy=policy)
         self.random = random.Random(seed)
         self.fleet_domains = list(domains)
-        self.services = max(MIN_SERVICES, round(nodes / TARGETS_PER_SERVICE))
+        targets = targets or nodes
+        self.services = max(MIN_SERVICES, round(targets / TARGETS_PER_SERVICE))
         self.published_sections = set()
-        for number in range(nodes):
+        for number in range(targets):
             domain = self.fleet_domains[number % len(self.fleet_domains)]
             self.add_host(f"{domain}-{number}", domain, f"service-{number % self.services}")
+        self.configured_hosts = self.hosts
+        self.hosts = self.hosts[:nodes]
 
     # Versions
 
@@ -73,7 +77,7 @@
         sheet = pathlib.Path(self.path(f"sheet-{version}.csv"))
         routes = [f"route-{s},account-{s % 7},GET,/service-{s},service-{s},short,yes,normal,800"
                   for s in range(self.services)]
-        sheet.write_text(self.sheet(routes), encoding="utf-8")
+        sheet.write_text(self.sheet(routes, hosts=self.configured_hosts), encoding="utf-8")
         directory = pathlib.Path(self.path(f"bundle-{version}"))
         done = subprocess.run([str(cluster.BUILD / "pomelohead"), "sheet", "build", str(sheet),
                                "--version", str(version), "-o", str(directory)],
