--- a/pomelohead/node/admin_pages.cc
+++ b/pomelohead/node/admin_pages.cc
@@ -155,7 +155,9 @@
     out["route"] = route_json(*route);
     out["service"] = route->m_service;
     out["version"] = config->m_version;
-    const routing::call_facts call{.m_class = route->m_class, .m_idempotent = route->m_idempotent};
+    const routing::call_facts call{.m_class = route->m_class,
+                                   .m_urgency = route->m_urgency,
+                                   .m_idempotent = route->m_idempotent};
     std::mt19937_64 random(1);
     reason why;
     const config::service& service = *config->find_service(route->m_service);
@@ -302,7 +304,7 @@
     }
     else if (path == "/quarantine/release") {
         const auto fingerprint = forwarding::query_parameter(target, "fingerprint").value_or("");
-        const bool released = n.owner().quarantine().release(fingerprint, n.timers().now());
+        const bool released = n.owner().release(fingerprint);
         send_json(exchange, {{"released", released}}, released ? 200 : 404);
     }
     else if (path == "/testing") {
--- /dev/null
+++ b/pomelohead/routing/retry_policy.cc
@@ -0,0 +1,45 @@
+#include "pomelohead/routing/retry_policy.h"
+
+namespace pomelohead::routing {
+namespace {
+
+// Share of the resend budget that is kept for urgent calls.
+constexpr double kept_for_urgent = 0.5;
+
+} // namespace
+
+retry_policy::retry_policy(const routing_options& options)
+    : m_options(options),
+      // Full at first: a resend costs no target anything, and part of the budget is kept.
+      m_resends(options.m_resend_share, options.m_budget_floor_per_s, options.m_budget_cap,
+                options.m_budget_cap),
+      m_retries(options.m_retry_share, options.m_budget_floor_per_s, options.m_budget_cap)
+{
+}
+
+bool retry_policy::may_resend(const call_facts& call, duration elapsed, time_point now)
+{
+    const bool is_short = call.m_class == config::work_class::short_work;
+    if (is_short && elapsed > m_options.m_resend_window) {
+        return false;
+    }
+    const double kept = call.m_urgency == config::urgency::urgent ? 0 : kept_for_urgent;
+    // Nothing has run, so nothing is multiplied down the chain: depth costs nothing.
+    return !m_options.m_retry_budget || m_resends.take(now, 0, kept);
+}
+
+bool retry_policy::may_retry(const call_facts& call, time_point now)
+{
+    if (!call.m_idempotent) {
+        return false;
+    }
+    return !m_options.m_retry_budget || m_retries.take(now, call.m_depth);
+}
+
+void retry_policy::answered(time_point now)
+{
+    m_resends.success(now);
+    m_retries.success(now);
+}
+
+} // namespace pomelohead::routing
