An entry spends no resend on a refusal that every owner would repeat

Cause: a quarantined request was offered to other owners, each of which refuses it too, and used up the resend budget of innocent requests.

Ruled out: a larger budget.

Change: entry_machine stops at refusals about the request itself.

Before: forwarding_test, an innocent request after six crashing ones: 503 retry-refused. After: 200; forwarding_test 13 and outcome_test 16 cases pass.

--- a/pomelohead/outcome/entry_machine.cc
+++ b/pomelohead/outcome/entry_machine.cc
@@ -22,6 +22,14 @@
 // The first crash makes a request suspect, the second ends it.
 constexpr std::size_t max_crashes = 2;
 
+// A refusal that every other owner would repeat.
+bool is_same_everywhere(cause why)
+{
+    return why == cause::quarantined || why == cause::malformed_request ||
+           why == cause::body_too_large || why == cause::headers_too_large ||
+           why == cause::deadline;
+}
+
 attempt_phase lost_phase(attempt_phase phase)
 {
     return phase == attempt_phase::connecting ? attempt_phase::not_sent : attempt_phase::unknown;
@@ -166,7 +174,7 @@
         if (std::ranges::any_of(state().m_attempts, is_open)) {
             return; // a hedge still runs
         }
-        if (may_go_on()) {
+        if (may_go_on() && !is_same_everywhere(why)) {
             act(entry_action_kind::choose_owner);
             return;
         }
