--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr duration probe_limit = std::chrono::milliseconds(200);
+constexpr int probes = 4;
+constexpr duration probe_pause = std::chrono::milliseconds(15);
 constexpr milliseconds apart_retry_after{1000};
 
 } // namespace
@@ -130,12 +132,20 @@
     return m_flights.size() == 1 && m_flights.begin()->first == id;
 }
 
+// A process that ends closes its connections and its listener in no set order, so
+// one successful connection proves little; a few in a row do.
 bool owned_target::probe_crashed()
 {
-    reason why;
-    const auto probe =
-        connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
-    return probe == nullptr && why.m_code == reason_code::unreachable;
+    for (int probe = 0; probe < probes; ++probe) {
+        reason why;
+        const auto connection =
+            connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
+        if (connection == nullptr) {
+            return why.m_code == reason_code::unreachable;
+        }
+        sleep_for(probe_pause);
+    }
+    return false;
 }
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/outcome/entry_machine.cc
+++ b/pomelohead/outcome/entry_machine.cc
@@ -176,6 +176,10 @@
     bool may_go_on()
     {
         const entry_state& now = state();
+        // Owners tell each other of quarantined requests, so any other would refuse too.
+        if (now.m_last_cause == cause::quarantined) {
+            return false;
+        }
         // A ticket's owner has spoken or is lost; nobody else may run the request.
         if (now.m_facts.m_has_ticket || !now.m_body_kept ||
             now.m_attempts.size() >= now.m_facts.m_attempts || now.m_crashes >= max_crashes) {
--- /dev/null
+++ b/pomelohead/outcome/entry_machine_test.cc
@@ -0,0 +1,120 @@
+#include "pomelohead/outcome/entry_machine.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::outcome {
+namespace {
+
+using kind = entry_event_kind;
+using action = entry_action_kind;
+
+const entry_facts swap_request{};
+const entry_facts read_request{.m_idempotent = true};
+const entry_facts ticket_request{.m_has_ticket = true};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(after_one_attempt_ends)
+{
+    struct end_case {
+        const char* m_name = "";
+        entry_facts m_facts;
+        std::vector<entry_event> m_events; ///< after owner_chosen
+        entry_action m_expected;           ///< the first action of the last event
+    };
+    const entry_action elsewhere{action::choose_owner, 0, {}};
+    const auto answered = [](outcome said, cause why) {
+        return entry_action{action::answer, 0, {said, why}};
+    };
+    const end_case cases[] = {
+        {"no connection", swap_request, {{kind::connect_failed}}, elsewhere},
+        {"no connection for a ticket",
+         ticket_request,
+         {{kind::connect_failed}},
+         answered(outcome::unknown, cause::no_owner)},
+        {"lost before a byte", swap_request, {{kind::connection_lost}}, elsewhere},
+        {"lost after a byte",
+         swap_request,
+         {{kind::write_begins}, {kind::connection_lost}},
+         answered(outcome::unknown, cause::connection_lost)},
+        {"a read lost after a byte",
+         read_request,
+         {{kind::write_begins}, {kind::connection_lost}},
+         elsewhere},
+        {"not run",
+         swap_request,
+         {{kind::write_begins}, {kind::owner_not_run, 0, cause::draining}},
+         elsewhere},
+        {"not run, the body gone on",
+         swap_request,
+         {{kind::write_begins}, {kind::body_dropped}, {kind::owner_not_run, 0, cause::draining}},
+         answered(outcome::not_run, cause::draining)},
+        {"not run, by a ticket's owner",
+         ticket_request,
+         {{kind::write_begins}, {kind::owner_not_run, 0, cause::draining}},
+         answered(outcome::not_run, cause::draining)},
+        {"quarantined",
+         read_request,
+         {{kind::write_begins}, {kind::owner_not_run, 0, cause::quarantined}},
+         answered(outcome::not_run, cause::quarantined)},
+        {"not run, and no budget",
+         swap_request,
+         {{kind::write_begins}, {kind::owner_not_run, 0, cause::draining}, {kind::retry_refused}},
+         answered(outcome::not_run, cause::retry_refused)},
+        {"in doubt, and no budget",
+         read_request,
+         {{kind::write_begins},
+          {kind::owner_unknown, 0, cause::target_lost},
+          {kind::retry_refused}},
+         answered(outcome::unknown, cause::target_lost)},
+        {"crashed twice",
+         read_request,
+         {{kind::write_begins},
+          {kind::owner_unknown, 0, cause::target_crashed},
+          {kind::owner_chosen},
+          {kind::write_begins, 1},
+          {kind::owner_unknown, 1, cause::target_crashed}},
+         answered(outcome::unknown, cause::target_crashed)},
+        {"deadline before a byte", swap_request, {{kind::deadline}}, {action::abandon, 0, {}}},
+        {"caller left",
+         swap_request,
+         {{kind::write_begins}, {kind::caller_left}},
+         {action::abandon, 0, {}}},
+        {"a begun answer lost",
+         read_request,
+         {{kind::write_begins},
+          {kind::owner_complete},
+          {kind::answer_begins},
+          {kind::connection_lost}},
+         {action::cut_caller, 0, {}}},
+    };
+    for (const end_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            entry_step next = step(make_entry_state(c.m_facts), {.m_kind = kind::owner_chosen});
+            for (const entry_event& event : c.m_events) {
+                next = step(next.m_state, event);
+            }
+            BOOST_REQUIRE(!next.m_actions.empty());
+            BOOST_TEST((next.m_actions.front() == c.m_expected));
+        }
+    }
+}
+
+// A hedge's loser is closed, never reused, and its late events change nothing.
+BOOST_AUTO_TEST_CASE(the_first_whole_answer_wins)
+{
+    entry_state state = make_entry_state(read_request);
+    for (const entry_event& event :
+         {entry_event{kind::owner_chosen}, entry_event{kind::write_begins},
+          entry_event{kind::owner_chosen}, entry_event{kind::write_begins, 1}}) {
+        state = step(state, event).m_state;
+    }
+    const entry_step won = step(state, {kind::owner_complete, 1});
+    BOOST_TEST((won.m_actions == std::vector<entry_action>{{action::abandon, 0, {}},
+                                                           {action::forward_answer, 1, {}}}));
+    BOOST_TEST((step(won.m_state, {kind::owner_complete, 0}) == entry_step{won.m_state, {}}));
+    BOOST_TEST(!may_hedge(won.m_state));
+}
+
+} // namespace pomelohead::outcome
--- a/pomelohead/routing/options.h
+++ b/pomelohead/routing/options.h
@@ -25,6 +25,9 @@
     std::chrono::microseconds m_region_cost{16000};
     /// After this time an owner's word counts for 1/e of a fresh one.
     milliseconds m_word_age{100};
+    /// For how long an owner's word that it drains is believed. After it one request
+    /// asks again: the owner's answer, "not run" or not, renews the word.
+    milliseconds m_drain_word_age{1000};
     /// A target this many times slower than the median of its peers is slow.
     double m_slow_ratio = 3.0;
     /// Share of its usual work that a slow target still gets.
--- a/pomelohead/routing/owner_selector.cc
+++ b/pomelohead/routing/owner_selector.cc
@@ -40,7 +40,7 @@
 std::string owner_selector::why_left_out(const config::snapshot& config,
                                          const config::target& target,
                                          const std::vector<std::string>& excluded,
-                                         const reachable_fn& reachable) const
+                                         const reachable_fn& reachable, time_point now) const
 {
     if (std::ranges::find(excluded, target.m_name) != excluded.end()) {
         return "already tried";
@@ -49,7 +49,7 @@
         return "drained by the configuration";
     }
     const auto view = m_views.find(target.m_name);
-    if (view != m_views.end() && view->second.is_draining()) {
+    if (view != m_views.end() && view->second.is_draining(now, m_options)) {
         return "its owner drains it";
     }
     if (reachable && !reachable(target)) {
@@ -162,7 +162,7 @@
     std::vector<candidate> eligible;
     std::string left_out;
     for (const config::target& target : service.m_targets) {
-        std::string cause = why_left_out(config, target, excluded_targets, reachable);
+        std::string cause = why_left_out(config, target, excluded_targets, reachable, now);
         if (!cause.empty()) {
             left_out += (left_out.empty() ? "" : ", ") + target.m_name + ": " + cause;
             continue;
@@ -232,9 +232,9 @@
         line.m_target = target.m_name;
         line.m_host = target.m_host;
         line.m_failure_domain = target.m_failure_domain;
-        line.m_why = why_left_out(config, target, {}, reachable);
+        line.m_why = why_left_out(config, target, {}, reachable, now);
         line.m_eligible = line.m_why.empty();
-        line.m_draining = view.is_draining() || config.is_draining(target.m_name);
+        line.m_draining = view.is_draining(now, m_options) || config.is_draining(target.m_name);
         line.m_share = view.share(typical, now, m_options);
         line.m_slow = view.slow_ratio(typical, now, m_options) >= m_options.m_slow_ratio;
         line.m_free = view.headroom(call, usual, now, m_options);
--- a/pomelohead/routing/owner_selector.h
+++ b/pomelohead/routing/owner_selector.h
@@ -81,7 +81,7 @@
     [[nodiscard]] std::string why_left_out(const config::snapshot& config,
                                            const config::target& target,
                                            const std::vector<std::string>& excluded,
-                                           const reachable_fn& reachable) const;
+                                           const reachable_fn& reachable, time_point now) const;
     [[nodiscard]] duration typical_latency(const config::service& service) const;
     [[nodiscard]] double usual_headroom(const config::service& service, const call_facts& call,
                                         time_point now) const;
--- a/pomelohead/routing/target_view.h
+++ b/pomelohead/routing/target_view.h
@@ -47,7 +47,11 @@
     [[nodiscard]] double headroom(const call_facts& call, double usual, time_point now,
                                   const routing_options& options) const;
 
-    [[nodiscard]] bool is_draining() const { return m_word && m_word->m_draining; }
+    /// Whether the owner said lately that it drains.
+    [[nodiscard]] bool is_draining(time_point now, const routing_options& options) const
+    {
+        return m_word && m_word->m_draining && now - m_word->m_heard < options.m_drain_word_age;
+    }
     [[nodiscard]] const std::optional<owner_word>& word() const { return m_word; }
     [[nodiscard]] std::uint32_t outstanding(config::work_class work) const;
 
--- /dev/null
+++ b/pomelohead/routing/target_view_test.cc
@@ -0,0 +1,26 @@
+#include "pomelohead/routing/target_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::routing {
+
+using namespace std::chrono_literals;
+
+// No request goes to a draining owner, so nothing but its word's age shows an entry
+// that the drain was taken back, or that another incarnation serves.
+BOOST_AUTO_TEST_CASE(a_drain_word_is_believed_for_a_time)
+{
+    const routing_options options;
+    const time_point start{};
+    target_view view;
+    view.heard({.m_incarnation = 1, .m_draining = true, .m_heard = start}, options);
+    BOOST_TEST(view.is_draining(start, options));
+    BOOST_TEST(view.is_draining(start + options.m_drain_word_age - 1ms, options));
+    BOOST_TEST(!view.is_draining(start + options.m_drain_word_age, options));
+    view.heard({.m_incarnation = 1, .m_draining = true, .m_heard = start + 2s}, options);
+    BOOST_TEST(view.is_draining(start + 2s, options));
+    view.heard({.m_incarnation = 1, .m_draining = false, .m_heard = start + 2s}, options);
+    BOOST_TEST(!view.is_draining(start + 2s, options));
+}
+
+} // namespace pomelohead::routing
