--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -26,7 +26,6 @@
 CLOCK_STEP_S = 0.002  # of the logs' times
 NODES_PER_START = 25
 PAUSE_BETWEEN_STARTS_S = 0.2
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 DOMAINS = ("dolgellau", "bala", "porthmadog")
 IN_FORCE = re.compile(r'"time":"([^"]+)".*"event":"version_in_force".*version (\d+)')
@@ -43,10 +42,9 @@
 
 
 class Usage:
-    """What one node had used up at one moment."""
+    """What one node had sent and received at one moment."""
 
-    def __init__(self, cpu_s, status):
-        self.cpu_s = cpu_s
+    def __init__(self, status):
         self.control_bytes = status["control_bytes_sent"] + status["control_bytes_received"]
         self.messages = {name: counts["sent"] for name, counts in status["messages"].items()}
         self.message_bytes = {name: counts["sent_bytes"] + counts["received_bytes"]
@@ -57,15 +55,19 @@
 class Fleet(cluster.Cluster):
     """Nodes in failure domains, and the platform's stand-in."""
 
-    def __init__(self, net, nodes, policy=None, seed=1, domains=DOMAINS):
+    def __init__(self, net, nodes, policy=None, seed=1, domains=DOMAINS, targets=None):
+        """`targets`: in the configuration; those above `nodes` have no node."""
         super().__init__(net, policy=policy)
         self.random = random.Random(seed)
         self.fleet_domains = list(domains)
-        self.services = max(MIN_SERVICES, round(nodes / TARGETS_PER_SERVICE))
+        targets = targets or nodes
+        self.services = max(MIN_SERVICES, round(targets / TARGETS_PER_SERVICE))
         self.published_sections = set()
-        for number in range(nodes):
+        for number in range(targets):
             domain = self.fleet_domains[number % len(self.fleet_domains)]
             self.add_host(f"{domain}-{number}", domain, f"service-{number % self.services}")
+        self.configured_hosts = self.hosts
+        self.hosts = self.hosts[:nodes]
 
     # Versions
 
@@ -75,7 +77,7 @@
         sheet = pathlib.Path(self.path(f"sheet-{version}.csv"))
         routes = [f"route-{s},account-{s % 7},GET,/service-{s},service-{s},short,yes,normal,800"
                   for s in range(self.services)]
-        sheet.write_text(self.sheet(routes), encoding="utf-8")
+        sheet.write_text(self.sheet(routes, hosts=self.configured_hosts), encoding="utf-8")
         directory = pathlib.Path(self.path(f"bundle-{version}"))
         done = subprocess.run([str(cluster.BUILD / "pomelohead"), "sheet", "build", str(sheet),
                                "--version", str(version), "-o", str(directory)],
@@ -171,20 +173,13 @@
         return found
 
     def usage(self, host):
-        """What a node has used up so far; reading it costs the node a little itself."""
-        status = self.admin(host, "/status")
-        return Usage(cpu_seconds(host.node.pid), status)
+        """A node's traffic so far; reading it costs the node some processor time."""
+        return Usage(self.admin(host, "/status"))
 
     def source_calls(self):
         return self.platform_call("GET", "/stats")["calls"]
 
 
-def cpu_seconds(pid):
-    """User and system time of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
-
-
 def resident_mib(pid):
     """Resident memory of a process."""
     pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
@@ -196,11 +191,6 @@
     return [host for host in hosts if fleet.admin(host, "/status")["source"]["watching"]]
 
 
-def percentile(values, share):
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 class CallWatch:
     """Follows the calls that the source gets, to find the most in any one second.
 
