--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -95,6 +95,8 @@
         window = Window(fleet)
         time.sleep(window_s)
         idle = window.end()
+        start = [usage for usage, _, _ in window.usage]
+        start_cpu = [cpu for _, cpu, _ in window.usage]
 
         count = max(1, int(window_s / change_period_s))
         bundles = [fleet.build(2 + i) for i in range(count + BURST_CHANGES)]
@@ -150,6 +152,11 @@
     report.figure("source_calls_idle", name, idle.source_calls, "calls/s")
     report.figure(f"source_calls_change_each_{change_period_s}s", name, changing.source_calls,
                "calls/s")
+    report.figure("control_bytes_of_a_start_mean", name,
+                  mean(usage.control_bytes for usage in start), "B")
+    report.figure("member_list_bytes_of_a_start_mean", name,
+                  mean(usage.message_bytes["member_list"] for usage in start), "B")
+    report.figure("cpu_of_a_start_mean", name, 1000 * mean(start_cpu), "ms")
     for kind, rate in idle.messages.items():
         report.figure(f"sent_idle_{kind}", name, rate, "messages/s")
         report.figure(f"sent_per_change_{kind}", name,
