--- a/pomelohead/outcome/entry_machine.cc
+++ b/pomelohead/outcome/entry_machine.cc
@@ -22,6 +22,15 @@
 // The first crash makes a request suspect, the second ends it.
 constexpr std::size_t max_crashes = 2;
 
+// A refusal that every other owner would repeat: it is about the request itself.
+// Owners tell each other of quarantined requests.
+bool is_same_everywhere(cause why)
+{
+    return why == cause::quarantined || why == cause::malformed_request ||
+           why == cause::body_too_large || why == cause::headers_too_large ||
+           why == cause::deadline;
+}
+
 attempt_phase lost_phase(attempt_phase phase)
 {
     return phase == attempt_phase::connecting ? attempt_phase::not_sent : attempt_phase::unknown;
@@ -177,7 +186,7 @@
     {
         const entry_state& now = state();
         // A ticket's owner has spoken or is lost; nobody else may run the request.
-        if (now.m_facts.m_has_ticket || !now.m_body_kept ||
+        if (now.m_facts.m_has_ticket || !now.m_body_kept || is_same_everywhere(now.m_last_cause) ||
             now.m_attempts.size() >= now.m_facts.m_attempts || now.m_crashes >= max_crashes) {
             return false;
         }
