--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -4,8 +4,9 @@
 namespace {
 
 constexpr duration probe_limit = std::chrono::milliseconds(200);
-constexpr int probes = 4;
-constexpr duration probe_pause = std::chrono::milliseconds(15);
+constexpr std::array<duration, 4> probe_pauses = {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(2), std::chrono::milliseconds(10),
+    std::chrono::milliseconds(30)};
 constexpr milliseconds apart_retry_after{1000};
 
 } // namespace
@@ -132,18 +133,27 @@
     return m_flights.size() == 1 && m_flights.begin()->first == id;
 }
 
-// A process that ends closes its connections and its listener in no set order, so
-// one successful connection proves little; a few in a row do.
-bool owned_target::probe_crashed()
+// A process that ends closes its descriptors one after another: the connection of
+// a request may be lost while the listener still accepts. Idle connections that end
+// at the same time, or a listener that is gone a moment later, tell the difference.
+bool owned_target::probe_crashed(std::uint64_t epoch)
 {
-    for (int probe = 0; probe < probes; ++probe) {
+    for (const duration pause : probe_pauses) {
+        if (pause > duration::zero()) {
+            sleep_for(pause);
+        }
+        if (epoch != m_epoch) {
+            return true; // another request of the epoch has found out
+        }
         reason why;
-        const auto connection =
+        const auto probe =
             connect(m_io, {m_target.m_host, m_target.m_port}, clock_type::now() + probe_limit, why);
-        if (connection == nullptr) {
-            return why.m_code == reason_code::unreachable;
+        if (probe == nullptr && why.m_code == reason_code::unreachable) {
+            return true;
+        }
+        if (m_pool.has_broken()) {
+            return true;
         }
-        sleep_for(probe_pause);
     }
     return false;
 }
--- a/testing/fake_fleet.cc
+++ b/testing/fake_fleet.cc
@@ -1,5 +1,7 @@
 #include "testing/fake_fleet.h"
 
+#include "testing/freezable_timers.h"
+
 #include <algorithm>
 #include <deque>
 
@@ -12,6 +14,7 @@
 
 constexpr milliseconds min_delay{1};
 constexpr std::size_t seeds_of_each_domain = 2;
+constexpr std::size_t ring_seeds = 3;
 
 config::snapshot sample_snapshot(config::version_number version, const std::string& salt)
 {
@@ -49,89 +52,9 @@
     return config::make_bundle(result);
 }
 
-// A node's clock: it runs with the fleet's, but its callbacks wait while it is frozen.
-class fake_fleet::node_timers final : public timer_service {
-public:
-    explicit node_timers(timer_service& timers) : m_timers(timers) {}
-
-    [[nodiscard]] time_point now() const override { return m_timers.now(); }
-
-    [[nodiscard]] timer_subscription after(duration delay, std::function<void()> callback) override
-    {
-        auto entry = make_entry(std::move(callback));
-        *entry->m_inner = m_timers.after(delay, [this, entry] { due(entry); });
-        return subscription(entry);
-    }
-
-    [[nodiscard]] timer_subscription every(duration period, std::function<void()> callback) override
-    {
-        auto entry = make_entry(std::move(callback));
-        *entry->m_inner = m_timers.every(period, [this, entry] { due(entry); });
-        return subscription(entry);
-    }
-
-    void freeze() { m_frozen = true; }
-
-    void thaw()
-    {
-        m_frozen = false;
-        const auto waiting = std::exchange(m_waiting, {});
-        for (const auto& entry : waiting) {
-            entry->m_waits = false;
-            run(entry);
-        }
-    }
-
-private:
-    struct entry_data {
-        std::function<void()> m_callback;
-        std::shared_ptr<timer_subscription> m_inner = std::make_shared<timer_subscription>();
-        bool m_cancelled = false;
-        bool m_waits = false;
-    };
-    using entry_ptr = std::shared_ptr<entry_data>;
-
-    static entry_ptr make_entry(std::function<void()> callback)
-    {
-        auto entry = std::make_shared<entry_data>();
-        entry->m_callback = std::move(callback);
-        return entry;
-    }
-
-    static timer_subscription subscription(const entry_ptr& entry)
-    {
-        return timer_subscription([entry] {
-            entry->m_cancelled = true;
-            entry->m_inner->cancel();
-        });
-    }
-
-    static void run(const entry_ptr& entry)
-    {
-        if (!entry->m_cancelled) {
-            entry->m_callback();
-        }
-    }
-
-    void due(const entry_ptr& entry)
-    {
-        if (!m_frozen) {
-            run(entry);
-        }
-        else if (!entry->m_waits) {
-            entry->m_waits = true; // a periodic callback is called once for all it missed
-            m_waiting.push_back(entry);
-        }
-    }
-
-    timer_service& m_timers;
-    bool m_frozen = false;
-    std::deque<entry_ptr> m_waiting;
-};
-
 struct fake_fleet::host {
     distribution::node_identity m_identity;
-    std::unique_ptr<node_timers> m_timers;
+    std::unique_ptr<freezable_timers> m_timers;
     std::unique_ptr<core> m_core; ///< null while the node is dead
     bool m_frozen = false;
     std::deque<std::function<void()>> m_arrived; ///< while frozen
@@ -176,6 +99,26 @@
     return added;
 }
 
+std::vector<std::string> fake_fleet::seeds_of(const std::string& address) const
+{
+    std::vector<std::string> seeds;
+    if (m_ring_seeds) {
+        auto next = m_hosts.find(address);
+        for (std::size_t i = 0; i < ring_seeds; ++i) {
+            next = std::next(next) == m_hosts.end() ? m_hosts.begin() : std::next(next);
+            seeds.push_back(next->first);
+        }
+        return seeds;
+    }
+    for (const auto& [seed_address, other] : m_hosts) {
+        const std::string number = seed_address.substr(seed_address.rfind('.') + 1);
+        if (std::stoul(number) <= seeds_of_each_domain) {
+            seeds.push_back(seed_address);
+        }
+    }
+    return seeds;
+}
+
 void fake_fleet::start(const std::string& address)
 {
     host& at = *m_hosts.at(address);
@@ -183,16 +126,11 @@
     at.m_last_applied = 0;
     at.m_frozen = false;
     at.m_arrived.clear();
-    at.m_timers = std::make_unique<node_timers>(m_timers);
+    at.m_timers = std::make_unique<freezable_timers>(m_timers);
     distribution::core_options options;
     options.m_self = at.m_identity;
     options.m_epoch = m_epoch++;
-    for (const auto& [seed_address, other] : m_hosts) {
-        const std::string number = seed_address.substr(seed_address.rfind('.') + 1);
-        if (std::stoul(number) <= seeds_of_each_domain) {
-            options.m_seeds.push_back(seed_address);
-        }
-    }
+    options.m_seeds = seeds_of(address);
     const std::uint64_t life = at.m_life;
     at.m_core = std::make_unique<core>(
         options, *at.m_timers,
