Resends after an owner has left are free; target names pass in a header

Cause: in a drain burst the resend budget refused requests whose only refusal was "draining" (seen by stops_test); and a target's name with spaces or accents broke the request for a ticket.

Ruled out: a larger budget (it bounds resends under overload, which these are not).

Change: no budget for a refused connection, "draining" and "misdirected", within the attempts of a request; the name travels in Pomelohead-Target.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -225,7 +225,8 @@
     }
     http::header<true> head;
     head.method(http::verb::post);
-    head.target("/.pomelohead/ticket?target=" + target.m_name);
+    head.target("/.pomelohead/ticket");
+    head.set(target_header, target.m_name);
     head.set(http::field::content_length, "0");
     head.set(http::field::connection, "close");
     message_writer writer(connection->m_stream);
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -233,12 +233,17 @@
 {
     const time_point now = m_service.m_timers.now();
     const outcome::attempt_phase last = m_state.m_attempts.back();
-    const bool never_ran =
-        last == outcome::attempt_phase::not_run || last == outcome::attempt_phase::not_sent;
+    const bool never_ran = last == outcome::attempt_phase::not_run;
+    // Asking an owner that left in vain costs its target nothing, so a drain or a dead
+    // host must not use up what resends under overload share.
+    const cause why = m_state.m_last_cause;
+    if (last == outcome::attempt_phase::not_sent || why == cause::draining ||
+        why == cause::misdirected) {
+        m_service.m_stats.add("retries_total", {{"after", "left"}});
+        return true;
+    }
     routing::retry_policy& retries = m_service.m_retries;
-    // Connecting is no wait that a caller's prompt refusal has to be bought with.
-    const duration waited =
-        last == outcome::attempt_phase::not_run ? clock_type::now() - m_arrived : duration::zero();
+    const duration waited = clock_type::now() - m_arrived;
     const bool granted =
         never_ran ? retries.may_resend(m_call, waited, now) : retries.may_retry(m_call, now);
     m_service.m_stats.add(granted ? "retries_total" : "retries_refused_total",
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -101,8 +101,7 @@
 
 void owner_service::issue_ticket(server_exchange& exchange)
 {
-    const std::string name =
-        query_parameter(exchange.request().head().target(), "target").value_or("");
+    const std::string name(exchange.request().head()[target_header]);
     http::header<false> head;
     reason why;
     std::optional<outcome::ticket> ticket;
