--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -415,7 +415,10 @@
             m.at(i).m_target->m_script = script::answer;
         }
         const answer other = m.call(http::verb::get, "/get");
-        BOOST_TEST_CONTEXT(other.m_reason) { BOOST_TEST(other.m_status == 200U); }
+        BOOST_TEST_CONTEXT(other.m_reason)
+        {
+            BOOST_TEST(other.m_status == 200U);
+        }
     });
 }
 
