--- a/pomelohead/distribution/core.cc
+++ b/pomelohead/distribution/core.cc
@@ -10,9 +10,10 @@
 // Seeds, and then members, that a starting node asks.
 constexpr std::size_t max_first_asked = 3;
 
-// Members asked for members in one round while the view settles: what a node knows
-// grows up to threefold in a round, so that the rounds grow with the fleet's logarithm.
-constexpr std::size_t asked_in_round = 2;
+// Members asked for members in one round while the view settles. What a node knows up to
+// doubles in a round, so that the rounds grow with the fleet's logarithm; to ask more of
+// them costs a member list each.
+constexpr std::size_t asked_in_round = 1;
 
 // Answers in a row without anybody new that show a settled view.
 constexpr unsigned answers_settled = 2;
