Lint clean: no sliced or needlessly copied values

Ruled out: exceptions in the linter's settings.

Change: the library's own header in place of a forward declaration of its namespace; references for values that are only read; a kept header instead of a sliced one.

--- a/pomelohead/cli/node_command.h
+++ b/pomelohead/cli/node_command.h
@@ -1,9 +1,7 @@
 // `pomelohead node`: runs the node of this host.
 #pragma once
 
-namespace CLI {
-class App;
-}
+#include <CLI/App.hpp>
 
 namespace pomelohead::cli {
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -472,7 +472,7 @@
         take_whole_answer(head, std::move(body));
     }
     else {
-        stream_answer(head, std::move(body));
+        stream_answer(head, body);
     }
 }
 
@@ -491,10 +491,10 @@
 {
     outcome::kept_answer answer{.m_status = static_cast<std::uint16_t>(head.result_int()),
                                 .m_body = std::move(body)};
-    http::fields fields = head;
-    remove_hop_fields(fields, true);
-    fields.erase(http::field::content_length);
-    for (const auto& field : fields) {
+    http::header<false> kept = head;
+    remove_hop_fields(kept, true);
+    kept.erase(http::field::content_length);
+    for (const auto& field : kept) {
         answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
     }
     clear_suspicion();
@@ -504,7 +504,8 @@
     feed({.m_kind = owner_event_kind::answer_whole});
 }
 
-void owner_exchange::stream_answer(const http::header<false>& target_head, std::string first_piece)
+void owner_exchange::stream_answer(const http::header<false>& target_head,
+                                   const std::string& first_piece)
 {
     http::header<false> head = target_head;
     remove_hop_fields(head, true);
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -47,7 +47,7 @@
     bool send_rest_of_body(message_writer& writer);
     void read_answer();
     void take_whole_answer(const http::header<false>& head, std::string body);
-    void stream_answer(const http::header<false>& head, std::string first_piece);
+    void stream_answer(const http::header<false>& head, const std::string& first_piece);
     void target_failed(const reason& why, outcome::cause otherwise);
     void keep_connection();
     void clear_suspicion();
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -76,7 +76,7 @@
 
 bool node::start(reason& why)
 {
-    m_distributor.on_applied([this](config::snapshot_ptr now) { on_configuration(now); });
+    m_distributor.on_applied([this](const config::snapshot_ptr& now) { on_configuration(now); });
     if (!m_admin.start(why) || !m_owner.start(why) || !m_distributor.start(why) ||
         !m_entry.start(why)) {
         return false;
--- a/pomelohead/source/source_reader_test.cc
+++ b/pomelohead/source/source_reader_test.cc
@@ -18,8 +18,9 @@
     explicit reader_fixture(reader_options options)
         : m_reader(options, m_timers,
                    {.m_read =
-                        [this](const read_request& request, std::function<void(read_answer)> done) {
-                            m_reads.emplace_back(request, std::move(done));
+                        [this](const read_request& request,
+                               const std::function<void(read_answer)>& done) {
+                            m_reads.emplace_back(request, done);
                         },
                     .m_manifest = [](const std::string&) {},
                     .m_hosts = [](std::uint64_t, const std::string&) {},
--- a/pomelohead/telemetry/metrics.h
+++ b/pomelohead/telemetry/metrics.h
@@ -8,10 +8,10 @@
 
 #include "pomelohead/telemetry/latency_histogram.h"
 
-#include <compare>
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -24,7 +24,11 @@
     std::string m_account;
     std::string m_class; ///< "short" or "long"
 
-    auto operator<=>(const latency_key&) const = default;
+    bool operator==(const latency_key&) const = default;
+    bool operator<(const latency_key& other) const
+    {
+        return std::tie(m_account, m_class) < std::tie(other.m_account, other.m_class);
+    }
 };
 
 /// Named counters, gauges read at the time of asking, and latency histograms.
