Lint clean: the last needlessly copied parameter, in a test

Ruled out: nothing else was named. Change: a reference. Before: lint failed on source_reader_test.cc. After: the file lints clean, source_test passes. Conclusion: kept.

--- a/pomelohead/source/source_reader_test.cc
+++ b/pomelohead/source/source_reader_test.cc
@@ -24,7 +24,7 @@
                         },
                     .m_manifest = [](const std::string&) {},
                     .m_hosts = [](std::uint64_t, const std::string&) {},
-                    .m_section = [](const std::string&, std::string) {},
+                    .m_section = [](const std::string&, const std::string&) {},
                     .m_section_failed = [](const std::string&, const reason&) {},
                     .m_confirmed = [] {}},
                    1)
