--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -1,5 +1,8 @@
 #include "pomelohead/cli/node_command.h"
 
+#include "platform/adapter.h"
+#include "platform/settings.h"
+
 #include "pomelohead/cli/console.h"
 #include "pomelohead/node/node.h"
 #include "pomelohead/settings/policy_knobs.h"
@@ -19,6 +22,8 @@
 
 struct node_arguments {
     std::string m_settings;
+    bool m_on_platform = false;
+    std::string m_policy_file;
     bool m_check = false;
     bool m_show_schema = false;
     bool m_show_policy = false;
@@ -43,28 +48,68 @@
     }
 }
 
-int run_node(settings::node_settings settings)
+void watch_reloads(boost::asio::signal_set& reloads)
+{
+    reloads.async_wait([&reloads](boost::system::error_code error, int) {
+        if (!error) {
+            log_event(log_level::info, "reload_asked");
+            watch_reloads(reloads);
+        }
+    });
+}
+
+int run_node(settings::node_settings settings, node::adapter parts)
 {
     init_logging(level_of(settings.m_log_level), settings.m_node);
     boost::asio::io_context& io = install_fiber_scheduler();
-    node::node n(std::move(settings), io);
+    node::node n(std::move(settings), io, std::move(parts));
     reason why;
     if (!n.start(why)) {
         std::cerr << "pomelohead node: " << why.m_text << '\n';
         // Half-started parts have fibers that only a whole start could stop in order.
         std::_Exit(exit_found);
     }
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code error, int) {
+    boost::asio::signal_set stops(io, SIGTERM, SIGINT);
+    stops.async_wait([&](boost::system::error_code error, int signal) {
         if (!error) {
+            log_event(log_level::info, "stop_asked", {{"signal", signal}});
             n.stop();
         }
     });
+    boost::asio::signal_set reloads(io, SIGHUP);
+    watch_reloads(reloads);
     n.wait();
-    signals.cancel();
+    stops.cancel();
+    reloads.cancel();
     return exit_good;
 }
 
+std::optional<settings::node_settings> read_settings(const node_arguments& arguments,
+                                                     const std::string& path, reason& why)
+{
+    const auto text = read_file(path, max_settings_bytes, why);
+    if (!text) {
+        std::cerr << "pomelohead node: " << why.m_text << '\n';
+        return std::nullopt;
+    }
+    std::vector<settings::setting_fault> faults;
+    auto settings = arguments.m_on_platform ? platform::parse_settings(*text, faults)
+                                            : settings::parse_settings(*text, faults);
+    if (settings && !arguments.m_policy_file.empty()) {
+        const auto policy = read_file(arguments.m_policy_file, max_settings_bytes, why);
+        if (!policy) {
+            std::cerr << "pomelohead node: " << why.m_text << '\n';
+            return std::nullopt;
+        }
+        settings::parse_policy(*policy, *settings, faults);
+    }
+    for (const settings::setting_fault& fault : faults) {
+        std::cerr << path << ": " << to_string(fault) << '\n';
+    }
+    why = {reason_code::invalid, path + " has faults"};
+    return faults.empty() ? settings : std::nullopt;
+}
+
 int run(const node_arguments& arguments)
 {
     if (arguments.m_show_schema) {
@@ -75,25 +120,20 @@
         show_policy();
         return exit_good;
     }
+    const std::string path = arguments.m_settings.empty() && arguments.m_on_platform
+                                 ? platform::settings_path()
+                                 : arguments.m_settings;
     reason why;
-    const auto text = read_file(arguments.m_settings, max_settings_bytes, why);
-    if (!text) {
-        std::cerr << "pomelohead node: " << why.m_text << '\n';
-        return exit_unusable;
-    }
-    std::vector<settings::setting_fault> faults;
-    const auto settings = settings::parse_settings(*text, faults);
-    for (const settings::setting_fault& fault : faults) {
-        std::cerr << arguments.m_settings << ": " << to_string(fault) << '\n';
-    }
+    auto settings = read_settings(arguments, path, why);
     if (!settings) {
-        return exit_found;
+        return why.m_code == reason_code::invalid ? exit_found : exit_unusable;
     }
     if (arguments.m_check) {
-        std::cout << arguments.m_settings << ": no faults\n";
+        std::cout << path << ": no faults\n";
         return exit_good;
     }
-    return run_node(*settings);
+    return run_node(std::move(*settings),
+                    arguments.m_on_platform ? platform::make_adapter() : node::adapter{});
 }
 
 } // namespace
@@ -103,6 +143,10 @@
     auto* command = app.add_subcommand("node", "Run the node of this host until it is stopped");
     auto arguments = std::make_shared<node_arguments>();
     command->add_option("--settings", arguments->m_settings, "the settings file (JSON)");
+    command->add_flag("--platform", arguments->m_on_platform,
+                      "run on the users' platform, with its settings file and its store");
+    command->add_option("--policy-file", arguments->m_policy_file,
+                        "policy settings (JSON) beside the settings file");
     command->add_flag("--check-settings", arguments->m_check,
                       "check the settings, name every fault, and exit");
     command->add_flag("--schema", arguments->m_show_schema, "print the settings' JSON schema");
--- a/pomelohead/config/snapshot.cc
+++ b/pomelohead/config/snapshot.cc
@@ -16,12 +16,25 @@
 
 bool is_better(const route& candidate, const route& best)
 {
+    if (candidate.m_host.empty() != best.m_host.empty()) {
+        return best.m_host.empty();
+    }
     if (candidate.m_path_prefix.size() != best.m_path_prefix.size()) {
         return candidate.m_path_prefix.size() > best.m_path_prefix.size();
     }
     return candidate.m_method != "*" && best.m_method == "*";
 }
 
+// Host names have no case, and a port does not choose a route.
+std::string plain_host(std::string_view host)
+{
+    std::string out(host.substr(0, host.rfind(':')));
+    std::ranges::transform(out, out.begin(), [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    return out;
+}
+
 } // namespace
 
 std::string_view to_string(work_class value)
@@ -42,12 +55,15 @@
     return "normal";
 }
 
-const route* snapshot::find_route(std::string_view method, std::string_view path) const
+const route* snapshot::find_route(std::string_view method, std::string_view path,
+                                  std::string_view host) const
 {
     path = path.substr(0, path.find('?'));
+    const std::string wanted = plain_host(host);
     const route* best = nullptr;
     for (const route& candidate : m_routes) {
-        if (candidate.m_method != "*" && candidate.m_method != method) {
+        if ((candidate.m_method != "*" && candidate.m_method != method) ||
+            (!candidate.m_host.empty() && candidate.m_host != wanted)) {
             continue;
         }
         if (matches_path(candidate.m_path_prefix, path) &&
--- a/pomelohead/config/validate.cc
+++ b/pomelohead/config/validate.cc
@@ -16,7 +16,7 @@
 
 class checker {
 public:
-    explicit checker(const snapshot& config) : m_config(config) {}
+    checker(const snapshot& config, target_source targets) : m_config(config), m_source(targets) {}
 
     std::vector<fault> run()
     {
@@ -62,7 +62,8 @@
         if (!m_routes.insert(item.m_name).second) {
             add(subject, "route", "is defined twice");
         }
-        if (!m_matches.insert(item.m_method + ' ' + item.m_path_prefix).second) {
+        if (!m_matches.insert(item.m_host + ' ' + item.m_method + ' ' + item.m_path_prefix)
+                 .second) {
             add(subject, "path",
                 "another route already matches " + item.m_method + " " + item.m_path_prefix);
         }
@@ -81,12 +82,30 @@
         if (m_config.find_service(item.m_service) == nullptr) {
             add(subject, "service", "names service '" + item.m_service + "', which has no targets");
         }
+        check_shares(subject, item);
+        if (item.m_objective > item.m_deadline) {
+            add(subject, "objective_ms", "must not exceed the deadline");
+        }
+    }
+
+    void check_shares(const std::string& subject, const route& item)
+    {
+        std::uint64_t sum = item.m_shares.empty() ? 1 : 0;
+        for (const service_share& share : item.m_shares) {
+            sum += share.m_weight;
+            if (m_config.find_service(share.m_service) == nullptr) {
+                add(subject, "shares", "names service '" + share.m_service + "', which is not here");
+            }
+        }
+        if (sum == 0) {
+            add(subject, "shares", "must have a weight above 0");
+        }
     }
 
     void check_service(const service& item)
     {
         check_name("service " + item.m_name, "service", item.m_name);
-        if (item.m_targets.empty()) {
+        if (item.m_targets.empty() && m_source == target_source::configuration) {
             add("service " + item.m_name, "service", "has no targets");
         }
         for (const target& member : item.m_targets) {
@@ -145,6 +164,7 @@
     }
 
     const snapshot& m_config;
+    target_source m_source;
     std::vector<fault> m_faults;
     std::set<std::string> m_routes;
     std::set<std::string> m_matches;
@@ -154,9 +174,9 @@
 
 } // namespace
 
-std::vector<fault> validate(const snapshot& config)
+std::vector<fault> validate(const snapshot& config, target_source targets)
 {
-    return checker(config).run();
+    return checker(config, targets).run();
 }
 
 } // namespace pomelohead::config
--- a/pomelohead/config/validate.h
+++ b/pomelohead/config/validate.h
@@ -17,7 +17,14 @@
     bool operator==(const fault&) const = default;
 };
 
+/// Where the targets of a configuration come from.
+enum class target_source {
+    configuration, ///< they are part of it: each service has some
+    discovery,     ///< they are found elsewhere: a service may have none
+};
+
 /// All faults of `config`, in the order of its parts; empty for a valid one.
-[[nodiscard]] std::vector<fault> validate(const snapshot& config);
+[[nodiscard]] std::vector<fault>
+validate(const snapshot& config, target_source targets = target_source::configuration);
 
 } // namespace pomelohead::config
--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <charconv>
 
 namespace pomelohead::forwarding {
 namespace {
@@ -17,6 +18,10 @@
 
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
+// A request that is written as the other side closes may have been read or not; the
+// margin covers the way there and a busy target.
+constexpr duration close_margin = std::chrono::milliseconds(500);
+
 } // namespace
 
 bool is_stale(client_connection& c)
@@ -57,7 +62,9 @@
     while (!m_idle.empty()) {
         std::unique_ptr<client_connection> c = std::move(m_idle.back());
         m_idle.pop_back();
-        if (c->m_idle_since >= oldest && !is_stale(*c)) {
+        const bool is_fresh =
+            c->m_idle_since >= oldest && clock_type::now() < c->m_usable_until;
+        if (is_fresh && !is_stale(*c)) {
             return c;
         }
     }
@@ -71,9 +78,26 @@
         m_idle, [&](const auto& c) { return c->m_idle_since >= recent && is_stale(*c); });
 }
 
-void connection_pool::give_back(std::unique_ptr<client_connection> c)
+std::optional<duration> idle_limit_of(const http::header<false>& head)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::string_view text = head[http::field::keep_alive];
+    const std::size_t at = text.find(name);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(text.data() + at + name.size(), text.data() + text.size(), seconds).ec !=
+            std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+void connection_pool::give_back(std::unique_ptr<client_connection> c,
+                                std::optional<duration> idle_limit)
 {
     c->m_idle_since = clock_type::now();
+    c->m_usable_until = idle_limit ? c->m_idle_since + *idle_limit - close_margin
+                                   : time_point::max();
     m_idle.push_back(std::move(c));
     if (m_idle.size() > m_max_idle) {
         m_idle.pop_front();
--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -23,11 +23,15 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     time_point m_idle_since{};
+    time_point m_usable_until = time_point::max(); ///< the other side closes it soon after
 };
 
 /// Whether the other side has closed the connection or sent something unasked.
 [[nodiscard]] bool is_stale(client_connection& c);
 
+/// The time-out that an answer's Keep-Alive field states for its connection.
+[[nodiscard]] std::optional<duration> idle_limit_of(const http::header<false>& head);
+
 /// Opens a connection. Fails with unreachable, timed_out.
 [[nodiscard]] std::unique_ptr<client_connection>
 connect(boost::asio::io_context& io, const endpoint& where, time_point deadline, reason& why);
@@ -43,8 +47,10 @@
     /// An idle connection that still stands, or a new one.
     [[nodiscard]] std::unique_ptr<client_connection> take(time_point deadline, reason& why);
 
-    /// Keeps a connection after a whole exchange.
-    void give_back(std::unique_ptr<client_connection> c);
+    /// Keeps a connection after a whole exchange. `idle_limit`: after which time the
+    /// other side said that it closes the connection.
+    void give_back(std::unique_ptr<client_connection> c,
+                   std::optional<duration> idle_limit = std::nullopt);
 
     /// Whether a connection that was in use a moment ago has ended while idle: a sign
     /// that the other side's process has ended.
--- a/pomelohead/forwarding/connection_watch.cc
+++ b/pomelohead/forwarding/connection_watch.cc
@@ -18,18 +18,26 @@
 
 } // namespace
 
-connection_watch::connection_watch(boost::beast::tcp_stream& stream, std::function<void()> on_gone)
+connection_watch::connection_watch(boost::beast::tcp_stream& stream, std::function<void()> on_gone,
+                                   std::function<void()> on_early_bytes)
     : m_state(std::make_shared<state>())
 {
     m_state->m_on_gone = std::move(on_gone);
+    m_state->m_on_early_bytes = std::move(on_early_bytes);
     const int socket = stream.socket().native_handle();
     stream.socket().async_wait(
         boost::asio::ip::tcp::socket::wait_read,
         boost::asio::bind_cancellation_slot(
             m_state->m_cancel.slot(), [kept = m_state, socket](boost::system::error_code error) {
-                if (!error && kept->m_on_gone && is_gone(socket)) {
+                if (error || !kept->m_on_gone) {
+                    return;
+                }
+                if (is_gone(socket)) {
                     kept->m_on_gone();
                 }
+                else if (kept->m_on_early_bytes) {
+                    kept->m_on_early_bytes();
+                }
             }));
 }
 
--- a/pomelohead/forwarding/connection_watch.h
+++ b/pomelohead/forwarding/connection_watch.h
@@ -4,7 +4,7 @@
 //
 // Only for a time in which no read is pending on the connection: between a whole
 // request and the end of its answer. Bytes that arrive early (the next request)
-// end the watch without a call.
+// end the watch with a call of the other hook, if there is one.
 #pragma once
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -15,11 +15,12 @@
 
 namespace pomelohead::forwarding {
 
-/// Calls a hook once when the connection ends; destroying it ends the watch.
+/// Calls one of its hooks once when the connection ends or bytes arrive early; destroying it ends the watch.
 class connection_watch {
 public:
-    /// The hook is called from the event loop and must not wait.
-    connection_watch(boost::beast::tcp_stream& stream, std::function<void()> on_gone);
+    /// The hooks are called from the event loop and must not wait.
+    connection_watch(boost::beast::tcp_stream& stream, std::function<void()> on_gone,
+                     std::function<void()> on_early_bytes = {});
     connection_watch(const connection_watch&) = delete;
     connection_watch& operator=(const connection_watch&) = delete;
     ~connection_watch();
@@ -27,6 +28,7 @@
 private:
     struct state {
         std::function<void()> m_on_gone;
+        std::function<void()> m_on_early_bytes;
         boost::asio::cancellation_signal m_cancel;
     };
     std::shared_ptr<state> m_state;
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -15,6 +15,8 @@
 // An owner refuses by itself at the deadline; its word takes a little time to arrive.
 constexpr duration owner_word_grace = std::chrono::milliseconds(100);
 
+constexpr std::uint64_t max_retry_hint_ms = 3'600'000;
+
 } // namespace
 
 entry_attempt::entry_attempt(entry_service& service, attempt_request& request, std::size_t index,
@@ -163,6 +165,9 @@
         tell(entry_event_kind::owner_complete);
         return;
     case outcome::outcome::not_run:
+        if (const auto hint = parse_number(head[retry_after_header], max_retry_hint_ms)) {
+            m_request.m_on_retry_hint(milliseconds(*hint));
+        }
         finish(true);
         tell(entry_event_kind::owner_not_run, why_said);
         return;
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -21,6 +21,7 @@
     config::work_class m_class = config::work_class::short_work;
     std::function<void(const outcome::entry_event&)> m_feed;
     std::function<bool()> m_is_suspect;
+    std::function<void(milliseconds)> m_on_retry_hint; ///< an owner's advice when to come back
 };
 
 /// One attempt. Kept by shared_ptr until its fiber and its request are done with it.
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -32,7 +32,12 @@
       m_request{.m_exchange = exchange,
                 .m_body = m_body,
                 .m_feed = [this](const outcome::entry_event& e) { feed(e); },
-                .m_is_suspect = [this] { return outcome::is_suspect(m_state); }},
+                .m_is_suspect = [this] { return outcome::is_suspect(m_state); },
+                .m_on_retry_hint =
+                    [this](milliseconds hint) {
+                        const bool is_first = m_retry_hint == milliseconds::zero();
+                        m_retry_hint = is_first ? hint : std::min(m_retry_hint, hint);
+                    }},
       m_arrived(clock_type::now())
 {
 }
@@ -45,10 +50,11 @@
     build_owner_head();
     m_state = outcome::make_entry_state({.m_idempotent = m_route->m_idempotent,
                                          .m_has_ticket = m_ticket.has_value(),
-                                         .m_attempts = m_service.m_options.m_attempts});
+                                         .m_attempts = m_service.m_options.m_attempts,
+                                         .m_max_targets = m_route->m_max_targets});
     if (!m_request.m_streamed) {
-        m_watch = std::make_unique<connection_watch>(
-            m_exchange.stream(), [this] { feed({.m_kind = entry_event_kind::caller_left}); });
+        m_watch =
+            m_exchange.watch([this] { feed({.m_kind = entry_event_kind::caller_left}); });
     }
     choose_owner(false);
     work();
@@ -59,9 +65,10 @@
 bool entry_exchange::read_caller_fields()
 {
     const http::header<true>& head = m_exchange.request().head();
-    const std::string_view id = head[request_id_header];
-    if (head.count(request_id_header) > 0 && !is_plain_token(id)) {
-        refuse(cause::malformed_request, "bad Pomelohead-Request-Id");
+    const std::string& id_header = m_service.m_options.m_dialect.m_request_id;
+    const std::string_view id = head[id_header];
+    if (head.count(id_header) > 0 && !is_plain_token(id)) {
+        refuse(cause::malformed_request, "bad " + id_header);
         return false;
     }
     m_request_id = id.empty() ? m_service.make_request_id() : std::string(id);
@@ -90,17 +97,18 @@
         refuse(cause::no_owner, "no configuration is in force yet");
         return false;
     }
-    m_route = m_config->find_route(head.method_string(), head.target());
+    m_route = m_config->find_route(head.method_string(), head.target(), head[http::field::host]);
     if (m_route == nullptr) {
         refuse(cause::no_route);
         return false;
     }
-    m_target_set = m_config->find_service(m_route->m_service);
+    m_target_set = m_config->find_service(m_service.m_shares.next(*m_route));
     m_call.m_class = m_route->m_class;
     m_call.m_urgency = m_route->m_urgency;
     m_call.m_idempotent = m_route->m_idempotent;
     reason why;
-    const auto left = deadline_of(head, m_route->m_deadline, why);
+    const auto left =
+        deadline_of(head, m_service.m_options.m_dialect.m_deadline, m_route->m_deadline, why);
     if (!left) {
         refuse(cause::malformed_request, why.m_text);
         return false;
@@ -113,9 +121,10 @@
 bool entry_exchange::read_body()
 {
     request_reader& request = m_exchange.request();
-    const std::uint64_t most = m_route->m_class == config::work_class::long_work
-                                   ? max_long_body_bytes
-                                   : max_short_body_bytes;
+    const std::uint64_t most = std::min(m_config->m_limits.m_max_body_bytes,
+                                        m_route->m_class == config::work_class::long_work
+                                            ? max_long_body_bytes
+                                            : max_short_body_bytes);
     if (request.content_length().value_or(0) > most) {
         refuse(cause::body_too_large);
         return false;
@@ -140,7 +149,11 @@
 {
     http::header<true>& head = m_request.m_head;
     head = m_exchange.request().head();
-    remove_hop_fields(head, true);
+    remove_hop_fields(head);
+    remove_own_fields(head);
+    if (!m_service.m_options.m_dialect.m_caller_service.empty()) {
+        head.set(m_service.m_options.m_dialect.m_caller_service, m_service.m_options.m_service);
+    }
     head.set(request_id_header, m_request_id);
     head.set(route_header, m_route->m_name);
     head.set(account_header, m_route->m_account);
@@ -289,7 +302,7 @@
     }
     start_attempt(std::move(*target));
     if (m_attempts.size() == 1) {
-        if (const auto delay = m_service.m_hedges.delay_for(m_route->m_service, m_call, now)) {
+        if (const auto delay = m_service.m_hedges.delay_for(m_target_set->m_name, m_call, now)) {
             m_hedge_at = now + *delay;
         }
     }
@@ -308,10 +321,10 @@
 {
     entry_attempt& attempt = *m_attempts[index];
     http::header<false> head = attempt.head();
-    remove_hop_fields(head, true);
+    remove_hop_fields(head);
+    remove_own_fields(head);
     head.erase(http::field::content_length);
-    head.set(outcome_header, "complete");
-    head.set(request_id_header, m_request_id);
+    m_service.m_options.m_dialect.m_complete(head, m_request_id);
     const unsigned status = head.result_int();
     feed({.m_kind = entry_event_kind::answer_begins});
     m_watch.reset();
@@ -336,7 +349,7 @@
     const time_point now = m_service.m_timers.now();
     m_service.m_retries.answered(now);
     if (m_call.m_class == config::work_class::short_work) {
-        m_service.m_hedges.answered(m_route->m_service, clock_type::now() - m_arrived, now);
+        m_service.m_hedges.answered(m_target_set->m_name, clock_type::now() - m_arrived, now);
     }
     record({outcome::outcome::complete, cause::none}, status);
 }
@@ -380,9 +393,8 @@
 void entry_exchange::answer(const outcome::conclusion& end)
 {
     http::header<false> head;
-    milliseconds hint{};
-    set_conclusion(head, end, hint);
-    head.set(request_id_header, m_request_id);
+    m_service.m_options.m_dialect.m_conclude(head, end, m_retry_hint);
+    head.set(m_service.m_options.m_dialect.m_request_id, m_request_id);
     m_watch.reset();
     // Recorded before the write, so that a caller that has its answer finds it counted.
     record(end, head.result_int());
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -6,7 +6,6 @@
 // own fiber in run().
 #pragma once
 
-#include "pomelohead/forwarding/connection_watch.h"
 #include "pomelohead/forwarding/entry_attempt.h"
 #include "pomelohead/outcome/ticket.h"
 
@@ -58,6 +57,7 @@
     kept_body m_body;
     attempt_request m_request;
     time_point m_arrived{};
+    milliseconds m_retry_hint{}; ///< the earliest return that a refusing owner advised
     std::string m_detail; ///< a refusal's explanation for the log
 
     outcome::entry_state m_state;
@@ -65,7 +65,7 @@
     fiber_event m_changed;
     std::vector<std::shared_ptr<entry_attempt>> m_attempts;
     std::optional<time_point> m_hedge_at;
-    std::unique_ptr<connection_watch> m_watch;
+    std::unique_ptr<exchange_watch> m_watch;
     fiber_group m_fibers;
 };
 
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -22,13 +22,17 @@
       m_selector(m_options.m_routing, m_options.m_failure_domain, m_options.m_region),
       m_retries(m_options.m_routing), m_hedges(m_options.m_routing),
       m_reachable([this](const config::target& t) { return m_hooks.m_is_alive(t.m_host); }),
-      m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
+      m_server(io, m_options.m_listen, {.m_head = {}, .m_pipelining = m_options.m_pipelining},
+               [this](server_exchange& e) { serve(e); })
 {
 }
 
 void entry_service::apply(const config::snapshot& config)
 {
     m_selector.retain(config);
+    m_shares.retain(config);
+    const config::caller_limits& limits = config.m_limits;
+    m_server.set_limits(limits.m_idle_timeout, limits.m_max_header_bytes, limits.m_header_timeout);
     std::set<std::string> hosts;
     for (const config::service& service : config.m_services) {
         for (const config::target& target : service.m_targets) {
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -12,10 +12,12 @@
 #pragma once
 
 #include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/forwarding/dialect.h"
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/routing/hedge_policy.h"
 #include "pomelohead/routing/owner_selector.h"
 #include "pomelohead/routing/retry_policy.h"
+#include "pomelohead/routing/share_rotation.h"
 #include "pomelohead/telemetry/metrics.h"
 
 #include <random>
@@ -34,6 +36,9 @@
     std::size_t m_kept_bytes_per_request = 1024UL * 1024UL;
     std::size_t m_kept_bytes = 32UL * 1024UL * 1024UL;
     routing::routing_options m_routing;
+    dialect m_dialect = make_own_dialect(); ///< of callers
+    std::string m_service; ///< that runs on this host and calls through this node; may be empty
+    bool m_pipelining = true;
 };
 
 /// What the entry side asks the rest of the node.
@@ -93,6 +98,7 @@
     routing::owner_selector m_selector;
     routing::retry_policy m_retries;
     routing::hedge_policy m_hedges;
+    routing::share_rotation m_shares;
     routing::reachable_fn m_reachable;
     std::set<std::string> m_blocked;
     std::map<std::string, connection_pool> m_pools; ///< by the owner's address
--- a/pomelohead/forwarding/headers.cc
+++ b/pomelohead/forwarding/headers.cc
@@ -57,15 +57,16 @@
 }
 
 std::optional<std::chrono::milliseconds>
-deadline_of(const http::fields& fields, std::chrono::milliseconds otherwise, reason& why)
+deadline_of(const http::fields& fields, std::string_view name, std::chrono::milliseconds otherwise,
+            reason& why)
 {
-    const auto it = fields.find(deadline_header);
+    const auto it = fields.find(name);
     if (it == fields.end()) {
         return otherwise;
     }
     const auto value = parse_number(it->value(), static_cast<std::uint64_t>(max_deadline.count()));
     if (!value || *value == 0) {
-        why = {reason_code::malformed, std::string(deadline_header) +
+        why = {reason_code::malformed, std::string(name) +
                                            " must be a whole number from 1 to " +
                                            std::to_string(max_deadline.count())};
         return std::nullopt;
@@ -73,6 +74,17 @@
     return std::chrono::milliseconds(*value);
 }
 
+void remove_own_fields(http::fields& fields)
+{
+    for (const std::string_view name :
+         {request_id_header, deadline_header, depth_header, ticket_header, outcome_header,
+          reason_header, target_header, route_header, account_header, class_header,
+          urgency_header, version_header, attempt_header, apart_header, word_header,
+          retry_after_header, not_run_header}) {
+        fields.erase(name);
+    }
+}
+
 std::string word_text(const admission::load_word& load, std::uint64_t incarnation, bool draining)
 {
     return "free=" + std::to_string(load.m_free) + " queued=" + std::to_string(load.m_queued) +
--- a/pomelohead/forwarding/headers.h
+++ b/pomelohead/forwarding/headers.h
@@ -39,6 +39,7 @@
 
 // From an owner to an entry.
 inline constexpr std::string_view word_header = "Pomelohead-Word";
+inline constexpr std::string_view retry_after_header = "Pomelohead-Retry-After-Ms";
 
 // From a target that declined a request without running it.
 inline constexpr std::string_view not_run_header = "Pomelohead-Not-Run";
@@ -52,15 +53,19 @@
 /// A header's value as a whole number up to `most`; nothing where it is another text.
 [[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text, std::uint64_t most);
 
-/// The time left in a deadline header, or `otherwise` where there is none. Fails
+/// The time left in the deadline header `name`, or `otherwise` where there is none. Fails
 /// where the header is not a number of milliseconds from 1 to max_deadline.
 [[nodiscard]] std::optional<std::chrono::milliseconds>
-deadline_of(const http::fields& fields, std::chrono::milliseconds otherwise, reason& why);
+deadline_of(const http::fields& fields, std::string_view name, std::chrono::milliseconds otherwise,
+            reason& why);
 
 /// What an owner says of itself with each answer.
 [[nodiscard]] std::string word_text(const admission::load_word& load, std::uint64_t incarnation,
                                     bool draining);
 
+/// Removes the headers of the project's own interface.
+void remove_own_fields(http::fields& fields);
+
 /// Reads word_text(); nothing where it is malformed.
 [[nodiscard]] std::optional<routing::owner_word> parse_word(std::string_view text, time_point now);
 
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -254,7 +254,7 @@
         return body_state::end;
     }
     if constexpr (!IsRequest) {
-        if (m_parser->need_eof()) {
+        if (m_parser->need_eof() && !m_unframed_accepted) {
             fail(why, reason_code::malformed, "the answer does not state its length");
             return body_state::failed;
         }
@@ -366,24 +366,16 @@
     return true;
 }
 
-void remove_hop_fields(http::fields& fields, bool remove_own)
+void remove_hop_fields(http::fields& fields)
 {
-    std::vector<std::string> names = {"Connection",        "Keep-Alive", "Proxy-Connection",
-                                      "Transfer-Encoding", "TE",         "Trailer",
-                                      "Upgrade",           "Expect"};
     const std::string connection(fields[http::field::connection]);
     for (const auto& token : http::token_list(connection)) {
-        names.emplace_back(token);
+        fields.erase(std::string_view(token));
     }
-    if (remove_own) {
-        for (const auto& field : fields) {
-            if (boost::beast::iequals(field.name_string().substr(0, own_header_prefix.size()),
-                                      own_header_prefix)) {
-                names.emplace_back(field.name_string());
-            }
-        }
-    }
-    for (const std::string& name : names) {
+    for (const http::field name :
+         {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+          http::field::transfer_encoding, http::field::te, http::field::trailer,
+          http::field::upgrade, http::field::expect}) {
         fields.erase(name);
     }
 }
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -3,8 +3,8 @@
 // message_reader reads a head, then the body piece by piece; message_writer
 // writes the same way. Neither holds a whole body, so that an upload of any size
 // passes in bounded memory. Both refuse what could be read in two ways: both
-// length headers, repeated lengths, folded lines, and answers whose end is only
-// the end of the connection (a cut answer would look whole).
+// length headers, repeated lengths and folded lines. Answers whose end is only the end
+// of the connection are refused, unless accept_unframed() says otherwise.
 //
 //     request_reader reader(stream, buffer);
 //     reason why;
@@ -63,6 +63,10 @@
     /// Says that the answer to a HEAD request has no body, whatever its head says.
     void expect_no_body();
 
+    /// Takes an answer without a length as whole when its connection ends in order; one
+    /// that is reset is cut all the same.
+    void accept_unframed() { m_unframed_accepted = true; }
+
     /// Whether a head has been read; the calls below need one.
     [[nodiscard]] bool head_read() const { return m_parser.has_value(); }
     [[nodiscard]] const http::header<IsRequest>& head() const { return m_parser->get().base(); }
@@ -82,6 +86,7 @@
 
     boost::beast::tcp_stream& m_stream;
     boost::beast::flat_buffer& m_buffer;
+    bool m_unframed_accepted = false;
     std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
 };
 
@@ -118,11 +123,8 @@
     bool m_started = false;
 };
 
-/// Removes the fields that concern one connection only (RFC 9110, section 7.6.1),
-/// the body's framing, and our own headers where `remove_own` says so.
-void remove_hop_fields(http::fields& fields, bool remove_own);
-
-/// The prefix of the headers that nodes add.
-inline constexpr std::string_view own_header_prefix = "Pomelohead-";
+/// Removes the fields that concern one connection only (RFC 9110, section 7.6.1) and
+/// the body's framing.
+void remove_hop_fields(http::fields& fields);
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -15,6 +15,15 @@
 constexpr std::size_t linger_bytes = 16UL * 1024UL * 1024UL;
 constexpr int accept_backlog = 1024;
 
+// Requests of one connection that are under way together. Beyond it the caller waits,
+// as it would without pipelining.
+constexpr std::uint64_t max_pipelined = 16;
+
+bool is_safe(http::verb method)
+{
+    return method == http::verb::get || method == http::verb::head;
+}
+
 unsigned status_of(const reason& why)
 {
     switch (why.m_code) {
@@ -35,9 +44,64 @@
     return {boost::asio::ip::make_address(where.m_address, ignored), where.m_port};
 }
 
+namespace detail {
+
+void end_connection(server_connection& c)
+{
+    c.m_ended = true;
+    // The hooks may end watches.
+    const auto hooks = std::exchange(c.m_on_gone, {});
+    for (const auto& [request, hook] : hooks) {
+        hook();
+    }
+    c.m_turn.set();
+}
+
+} // namespace detail
+
+exchange_watch::exchange_watch(detail::server_connection& c, std::uint64_t number,
+                               std::function<void()> on_gone, std::function<void()> on_early_bytes)
+    : m_connection(c), m_number(number),
+      m_watch(c.m_stream, [&c] { detail::end_connection(c); }, std::move(on_early_bytes))
+{
+    c.m_on_gone[number] = std::move(on_gone);
+}
+
+exchange_watch::~exchange_watch()
+{
+    m_connection.m_on_gone.erase(m_number);
+}
+
+std::unique_ptr<exchange_watch> server_exchange::watch(std::function<void()> on_gone)
+{
+    std::function<void()> on_early_bytes;
+    if (m_server.m_options.m_pipelining && !must_close()) {
+        on_early_bytes = [this] { m_server.read_ahead(m_connection, m_number); };
+    }
+    return std::make_unique<exchange_watch>(m_connection, m_number, std::move(on_gone),
+                                            std::move(on_early_bytes));
+}
+
+bool server_exchange::wait_for_turn(reason& why)
+{
+    while (!m_connection.m_ended && m_connection.m_finished + 1 < m_number) {
+        m_connection.m_turn.reset();
+        m_connection.m_turn.wait();
+    }
+    if (m_connection.m_ended) {
+        why = {reason_code::interrupted, "the connection has ended"};
+        m_close = true;
+        return false;
+    }
+    return true;
+}
+
 bool server_exchange::must_close() const
 {
-    return m_close || m_server.closing() || !m_request.keep_alive() || !m_request.done();
+    // A later request that has been read is to be answered too.
+    const bool is_last = m_connection.m_begun == m_number;
+    return m_close || (m_server.closing() && is_last) || !m_request.keep_alive() ||
+           !m_request.done();
 }
 
 void server_exchange::add_connection_field(http::header<false>& head)
@@ -51,6 +115,9 @@
 bool server_exchange::respond(http::header<false> head, std::string_view body, time_point deadline,
                               reason& why)
 {
+    if (!wait_for_turn(why)) {
+        return false;
+    }
     add_connection_field(head);
     const bool no_body = m_request.head().method() == http::verb::head ||
                          head.result_int() == 204 || head.result_int() == 304;
@@ -67,6 +134,9 @@
 bool server_exchange::begin(http::header<false> head, std::optional<std::uint64_t> length,
                             std::string_view first_piece, time_point deadline, reason& why)
 {
+    if (!wait_for_turn(why)) {
+        return false;
+    }
     add_connection_field(head);
     if (length) {
         head.set(http::field::content_length, std::to_string(*length));
@@ -163,16 +233,32 @@
         error_code ignored;
         socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         m_open.emplace_back(std::move(socket));
-        m_fibers.spawn([this, at = std::prev(m_open.end())] { serve(at); });
+        const auto at = std::prev(m_open.end());
+        at->m_fibers = 1;
+        m_fibers.spawn([this, at] { serve(at, at->m_begun = 1); });
+    }
+}
+
+// Reads the request behind request `number` while that one is under way.
+void http_server::read_ahead(detail::server_connection& c, std::uint64_t number)
+{
+    if (c.m_begun != number || c.m_ended || number - c.m_finished > max_pipelined) {
+        return;
     }
+    const auto at = std::ranges::find_if(m_open, [&c](const connection& o) { return &o == &c; });
+    ++c.m_fibers;
+    m_fibers.spawn([this, at, next = ++c.m_begun] { serve(at, next); });
 }
 
-void http_server::serve(connection_list::iterator at)
+void http_server::serve(connection_list::iterator at, std::uint64_t number)
 {
-    while (serve_one(*at)) {
+    while (number != 0) {
+        number = serve_one(*at, number);
+    }
+    if (--at->m_fibers == 0) {
+        linger(*at);
+        m_open.erase(at);
     }
-    linger(*at);
-    m_open.erase(at);
 }
 
 // Closing with unread bytes would reset the connection, and the other side might
@@ -193,29 +279,59 @@
     }
 }
 
-bool http_server::serve_one(connection& c)
+bool http_server::read_head(connection& c, request_reader& request, reason& why)
 {
-    request_reader request(c.m_stream, c.m_buffer);
     head_limits limits = m_options.m_head;
     limits.m_first_byte = clock_type::now() + m_options.m_idle_limit;
-    reason why;
+    c.m_reading = true;
     const bool good = request.read_head(limits, why);
-    c.m_idle = false;
-    if (!good) {
-        refuse(c, why);
-        return false;
+    c.m_reading = false;
+    return good;
+}
+
+// Returns the number of the request to serve next; 0: this fiber has none to serve.
+std::uint64_t http_server::serve_one(connection& c, std::uint64_t number)
+{
+    request_reader request(c.m_stream, c.m_buffer);
+    server_exchange exchange(c, number, request, *this);
+    reason why;
+    if (!read_head(c, request, why)) {
+        const bool is_lost =
+            why.m_code == reason_code::cancelled || why.m_code == reason_code::interrupted;
+        if (!is_lost && exchange.wait_for_turn(why)) {
+            refuse(c, why);
+        }
+        detail::end_connection(c);
+        return 0;
+    }
+    // What may not run twice is not begun while the connection may still be closed by
+    // an earlier answer: the caller would then send it again.
+    const bool is_ready = is_safe(request.head().method()) || exchange.wait_for_turn(why);
+    if (is_ready) {
+        m_handler(exchange);
     }
-    server_exchange exchange(c.m_stream, request, *this);
-    m_handler(exchange);
-    c.m_idle = true;
-    return !exchange.must_close() && !m_listener_closed;
+    return finish(c, number, !is_ready || exchange.must_close());
 }
 
-void http_server::refuse(connection& c, const reason& why)
+std::uint64_t http_server::finish(connection& c, std::uint64_t number, bool close)
 {
-    if (why.m_code == reason_code::cancelled || why.m_code == reason_code::interrupted) {
-        return;
+    // Answers may be over in another order only where the connection has ended.
+    c.m_finished = std::max(c.m_finished, number);
+    const bool is_read_ahead = c.m_begun != number;
+    const bool is_idle = !is_read_ahead || (c.m_reading && c.m_buffer.size() == 0);
+    if (close || (m_listener_closed && is_idle)) {
+        detail::end_connection(c);
+        if (c.m_reading) {
+            c.m_stream.cancel();
+        }
+        return 0;
     }
+    c.m_turn.set();
+    return is_read_ahead ? 0 : ++c.m_begun;
+}
+
+void http_server::refuse(connection& c, const reason& why)
+{
     if (why.m_code == reason_code::timed_out && c.m_buffer.size() == 0) {
         return;
     }
@@ -232,6 +348,13 @@
     writer.write_head(head, body_framing::length, {}, clock_type::now() + answer_limit, ignored);
 }
 
+void http_server::set_limits(duration idle, std::size_t max_head_bytes, duration head_time)
+{
+    m_options.m_idle_limit = idle;
+    m_options.m_head.m_max_bytes = max_head_bytes;
+    m_options.m_head.m_rest = head_time;
+}
+
 void http_server::close_listener()
 {
     if (m_listener_closed) {
@@ -243,7 +366,8 @@
     m_acceptor.close(ignored);
     for (connection& c : m_open) {
         // A request whose first bytes are here is still served.
-        if (c.m_idle && c.m_buffer.size() == 0) {
+        const bool is_idle = c.m_reading && c.m_begun == c.m_finished + 1;
+        if (is_idle && c.m_buffer.size() == 0) {
             c.m_stream.cancel();
         }
     }
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -1,4 +1,7 @@
-// A listener whose connections each serve one exchange at a time.
+// A listener whose connections serve their exchanges in order.
+//
+// With m_pipelining a request that arrives while an earlier one of its connection is
+// under way is begun at once; answers still go out in the order of the requests.
 //
 //     http_server server(io, {"127.0.1.1", 7400}, server_options{},
 //                        [&](server_exchange& e) { handle(e); });
@@ -10,6 +13,7 @@
 //     server.wait();             // until the last exchange is over
 #pragma once
 
+#include "pomelohead/forwarding/connection_watch.h"
 #include "pomelohead/forwarding/http_message.h"
 #include "pomelohead/runtime/fiber.h"
 
@@ -17,6 +21,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 
 namespace pomelohead::forwarding {
@@ -37,22 +42,70 @@
     std::size_t m_max_connections = 4096;
     duration m_idle_limit = std::chrono::seconds(75); ///< between exchanges on one connection
     head_limits m_head;
+    bool m_pipelining = false;
 };
 
 class http_server;
 
+namespace detail {
+
+/// One connection of a server, with the exchanges under way on it.
+struct server_connection {
+    explicit server_connection(boost::asio::ip::tcp::socket socket) : m_stream(std::move(socket)) {}
+
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    bool m_reading = false;       ///< waits for a request's head
+    bool m_ended = false;         ///< no further answer can be sent
+    std::uint64_t m_begun = 0;    ///< requests that a fiber reads or has read
+    std::uint64_t m_finished = 0; ///< requests that are over; their order is that of arrival
+    std::size_t m_fibers = 0;     ///< that serve the connection
+    fiber_event m_turn;           ///< set when m_finished or m_ended changes
+    std::map<std::uint64_t, std::function<void()>> m_on_gone; ///< by request
+};
+
+/// Marks the connection as ended and tells all that watch it.
+void end_connection(server_connection& c);
+
+} // namespace detail
+
+/// Calls a hook when the caller's connection ends before the answer; see
+/// server_exchange::watch().
+class exchange_watch {
+public:
+    exchange_watch(detail::server_connection& c, std::uint64_t number,
+                   std::function<void()> on_gone, std::function<void()> on_early_bytes);
+    exchange_watch(const exchange_watch&) = delete;
+    exchange_watch& operator=(const exchange_watch&) = delete;
+    ~exchange_watch();
+
+private:
+    detail::server_connection& m_connection;
+    std::uint64_t m_number;
+    connection_watch m_watch;
+};
+
 /// One request on a connection, with the means to answer it.
 class server_exchange {
 public:
-    server_exchange(boost::beast::tcp_stream& stream, request_reader& request,
-                    const http_server& server)
-        : m_stream(stream), m_request(request), m_server(server)
+    server_exchange(detail::server_connection& c, std::uint64_t number, request_reader& request,
+                    http_server& server)
+        : m_connection(c), m_stream(c.m_stream), m_number(number), m_request(request),
+          m_server(server)
     {
     }
 
     [[nodiscard]] request_reader& request() { return m_request; }
     [[nodiscard]] boost::beast::tcp_stream& stream() { return m_stream; }
 
+    /// Calls `on_gone` once if the connection ends before the watch does. Only after the
+    /// whole request has been read, and to be destroyed before the answer is written.
+    [[nodiscard]] std::unique_ptr<exchange_watch> watch(std::function<void()> on_gone);
+
+    /// Waits until the earlier requests of the connection have been answered; the calls
+    /// below do so by themselves. Fails with interrupted where the connection has ended.
+    bool wait_for_turn(reason& why);
+
     /// Answers with a whole body. Fields that mark the connection and the length are added.
     bool respond(http::header<false> head, std::string_view body, time_point deadline, reason& why);
 
@@ -74,9 +127,11 @@
 private:
     void add_connection_field(http::header<false>& head);
 
+    detail::server_connection& m_connection;
     boost::beast::tcp_stream& m_stream;
+    std::uint64_t m_number; ///< of the request on its connection, from 1
     request_reader& m_request;
-    const http_server& m_server;
+    http_server& m_server;
     std::optional<message_writer> m_writer;
     bool m_close = false;
 };
@@ -97,7 +152,7 @@
     /// Binds and begins to accept. Fails where the address cannot be bound.
     bool start(reason& why);
 
-    /// From now on answers carry Connection: close.
+    /// From now on answers carry Connection: close, but for those before others.
     void announce_close() { m_closing = true; }
     [[nodiscard]] bool closing() const { return m_closing; }
 
@@ -112,19 +167,20 @@
 
     [[nodiscard]] std::size_t connections() const { return m_open.size(); }
 
-private:
-    struct connection {
-        explicit connection(boost::asio::ip::tcp::socket socket) : m_stream(std::move(socket)) {}
+    /// Replaces the limits, for connections that begin to wait from now on.
+    void set_limits(duration idle, std::size_t max_head_bytes, duration head_time);
 
-        boost::beast::tcp_stream m_stream;
-        boost::beast::flat_buffer m_buffer;
-        bool m_idle = true;
-    };
+private:
+    friend class server_exchange;
+    using connection = detail::server_connection;
     using connection_list = std::list<connection>;
 
     void accept_loop();
-    void serve(connection_list::iterator at);
-    bool serve_one(connection& c);
+    void serve(connection_list::iterator at, std::uint64_t number);
+    void read_ahead(connection& c, std::uint64_t number);
+    std::uint64_t serve_one(connection& c, std::uint64_t number);
+    bool read_head(connection& c, request_reader& request, reason& why);
+    std::uint64_t finish(connection& c, std::uint64_t number, bool close);
     void linger(connection& c);
     void refuse(connection& c, const reason& why);
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -17,6 +17,13 @@
 // cut one becomes a clear refusal instead of a broken connection.
 constexpr std::size_t whole_answer_bytes = 64UL * 1024UL;
 
+// A body up to this size is written with the head, in one call: it fits the socket's
+// buffers, so the write does not wait for the target to read.
+constexpr std::size_t eager_body_bytes = 8UL * 1024UL;
+
+// Answers to earlier requests that are passed over before the connection is given up.
+constexpr std::size_t max_skipped_answers = 3;
+
 constexpr duration answer_limit = std::chrono::seconds(10);
 constexpr milliseconds default_deadline = std::chrono::minutes(1);
 
@@ -62,12 +69,12 @@
         return;
     }
     if (m_body.whole()) {
-        m_watch = std::make_unique<connection_watch>(
-            m_exchange.stream(), [this] { feed({.m_kind = owner_event_kind::entry_left}); });
+        m_watch = m_exchange.watch([this] { feed({.m_kind = owner_event_kind::entry_left}); });
     }
     ask_for_slot();
     work();
     m_watch.reset();
+    m_body_sender.wait();
 }
 
 void owner_exchange::recheck()
@@ -81,7 +88,7 @@
 {
     const http::header<true>& head = m_exchange.request().head();
     reason why;
-    const auto left = deadline_of(head, default_deadline, why);
+    const auto left = deadline_of(head, deadline_header, default_deadline, why);
     if (!left) {
         refuse(cause::malformed_request);
         return false;
@@ -365,24 +372,36 @@
 
 void owner_exchange::write_request()
 {
+    const dialect& names = m_service.m_options.m_dialect;
     http::header<true> head = m_exchange.request().head();
-    remove_hop_fields(head, true);
-    head.set(request_id_header, m_request_id);
+    remove_hop_fields(head);
+    remove_own_fields(head);
+    head.set(names.m_request_id, m_request_id);
     const auto left =
         std::chrono::duration_cast<milliseconds>(m_deadline - clock_type::now()).count();
-    head.set(deadline_header, std::to_string(std::max<std::int64_t>(left, 1)));
-    head.set(depth_header, std::to_string(m_facts.m_depth));
-
+    head.set(names.m_deadline, std::to_string(std::max<std::int64_t>(left, 1)));
+    if (names.m_instance.empty()) {
+        head.set(depth_header, std::to_string(m_facts.m_depth));
+    }
+    else {
+        head.set(names.m_instance, m_target->target().m_name);
+    }
     m_epoch = m_target->handed_over(m_id, m_fingerprint);
     message_writer writer(m_connection->m_stream);
     reason why;
     const body_framing framing = m_exchange.request().framing();
-    bool written = writer.write_head(head, framing, m_body.bytes(), m_deadline, why);
-    if (written && !m_body.whole()) {
-        written = send_rest_of_body(writer);
+    const bool is_large = m_body.whole() && m_body.bytes().size() > eager_body_bytes;
+    const std::string_view first = is_large ? std::string_view{} : m_body.bytes();
+    const bool written = writer.write_head(head, framing, first, m_deadline, why);
+    if (written && is_large) {
+        send_kept_body(writer);
+        return;
+    }
+    if (written && m_body.whole()) {
+        writer.finish(m_deadline, why);
     }
     else if (written) {
-        written = writer.finish(m_deadline, why);
+        send_rest_of_body(writer);
     }
     if (m_state.m_phase == owner_phase::finished) {
         return;
@@ -392,6 +411,24 @@
     read_answer();
 }
 
+// A target may answer before it has read a large body, and read on only later or never,
+// so the answer is read while the body is being written.
+void owner_exchange::send_kept_body(message_writer& writer)
+{
+    m_body_sent = false;
+    m_body_sender.spawn([this, &writer] {
+        reason why;
+        m_body_sent = writer.write_body(m_body.bytes(), m_deadline, why) &&
+                      writer.finish(m_deadline, why);
+    });
+    read_answer();
+    if (m_connection && !m_body_sent) {
+        m_connection->m_stream.close();
+    }
+    m_body_sender.wait();
+    m_connection.reset();
+}
+
 bool owner_exchange::send_rest_of_body(message_writer& writer)
 {
     m_body.release();
@@ -433,26 +470,60 @@
           .m_cause = crashed ? cause::target_crashed : otherwise});
 }
 
+// Reads heads until one that is the answer to this request. A target may send a second
+// answer to an earlier request of the connection, which its id tells.
+bool owner_exchange::read_own_head(reason& why)
+{
+    const dialect& names = m_service.m_options.m_dialect;
+    for (std::size_t skipped = 0; skipped <= max_skipped_answers; ++skipped) {
+        m_reader.emplace(m_connection->m_stream, m_connection->m_buffer);
+        if (names.m_unframed_answers) {
+            m_reader->accept_unframed();
+        }
+        do {
+            if (!m_reader->read_head({.m_first_byte = m_deadline}, why)) {
+                return false;
+            }
+        } while (m_reader->head().result_int() < 200);
+        const http::header<false>& head = m_reader->head();
+        const auto echoed = head.find(names.m_request_id);
+        const bool is_silent = echoed == head.end();
+        const bool may_be_silent =
+            !names.m_echo_required || names.m_judge_answer(head) == target_answer::misdirected;
+        if (is_silent ? may_be_silent : echoed->value() == m_request_id) {
+            return true;
+        }
+        if (is_silent || !names.m_echo_required || !skip_answer(why)) {
+            break;
+        }
+    }
+    why = {reason_code::conflict, "the answer is to another request"};
+    return false;
+}
+
+bool owner_exchange::skip_answer(reason& why)
+{
+    m_service.m_stats.add("foreign_answers_total");
+    std::string piece;
+    body_state state = m_reader->done() ? body_state::end : body_state::more;
+    while (state == body_state::more) {
+        state = m_reader->read_body(piece, max_piece_bytes, m_deadline, why);
+    }
+    return state == body_state::end && m_reader->keep_alive();
+}
+
 void owner_exchange::read_answer()
 {
     reason why;
-    m_reader.emplace(m_connection->m_stream, m_connection->m_buffer);
-    do {
-        if (!m_reader->read_head({.m_first_byte = m_deadline}, why)) {
-            target_failed(why, cause::target_lost);
-            return;
-        }
-    } while (m_reader->head().result_int() < 200);
+    if (!read_own_head(why)) {
+        target_failed(why, why.m_code == reason_code::conflict ? cause::foreign_answer
+                                                               : cause::target_lost);
+        return;
+    }
     const http::header<false>& head = m_reader->head();
     if (m_exchange.request().head().method() == http::verb::head) {
         m_reader->expect_no_body();
     }
-    const auto echoed = head.find(request_id_header);
-    if (echoed != head.end() && echoed->value() != m_request_id) {
-        target_failed({reason_code::conflict, "the answer is to another request"},
-                      cause::foreign_answer);
-        return;
-    }
     std::string body;
     std::string piece;
     body_state state = m_reader->done() ? body_state::end : body_state::more;
@@ -460,13 +531,21 @@
         state = m_reader->read_body(piece, max_piece_bytes, m_deadline, why);
         body += piece;
     }
-    if (state == body_state::failed) {
-        target_failed(why, cause::short_answer);
-    }
-    else if (head.result_int() == 503 && head[not_run_header] == "true") {
+    const target_answer verdict = m_service.m_options.m_dialect.m_judge_answer(head);
+    if (verdict == target_answer::declined || verdict == target_answer::misdirected) {
+        // The word stands in the head; a cut body takes nothing from it.
         keep_connection();
         m_run_end = admission::run_end::refused;
-        feed({.m_kind = owner_event_kind::target_refused});
+        feed({.m_kind = owner_event_kind::target_refused,
+              .m_cause = verdict == target_answer::misdirected ? cause::misdirected
+                                                               : cause::target_refused});
+    }
+    else if (state == body_state::failed) {
+        target_failed(why, cause::short_answer);
+    }
+    else if (verdict == target_answer::invalid) {
+        target_failed({reason_code::malformed, "not an answer of the target"},
+                      cause::foreign_answer);
     }
     else if (state == body_state::end) {
         take_whole_answer(head, std::move(body));
@@ -479,12 +558,16 @@
 void owner_exchange::keep_connection()
 {
     const bool reusable = m_reader->done() && m_reader->keep_alive() &&
-                          m_state.m_phase != owner_phase::finished && m_exchange.request().done();
+                          m_state.m_phase != owner_phase::finished &&
+                          m_exchange.request().done() && m_body_sent;
+    const std::optional<duration> idle_limit = idle_limit_of(m_reader->head());
     m_reader.reset();
     if (reusable) {
-        m_target->pool().give_back(std::move(m_connection));
+        m_target->pool().give_back(std::move(m_connection), idle_limit);
+    }
+    else if (m_body_sent) {
+        m_connection.reset();
     }
-    m_connection.reset();
 }
 
 void owner_exchange::take_whole_answer(const http::header<false>& head, std::string body)
@@ -492,7 +575,8 @@
     outcome::kept_answer answer{.m_status = static_cast<std::uint16_t>(head.result_int()),
                                 .m_body = std::move(body)};
     http::header<false> kept = head;
-    remove_hop_fields(kept, true);
+    remove_hop_fields(kept);
+    remove_own_fields(kept);
     kept.erase(http::field::content_length);
     for (const auto& field : kept) {
         answer.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
@@ -508,7 +592,8 @@
                                    const std::string& first_piece)
 {
     http::header<false> head = target_head;
-    remove_hop_fields(head, true);
+    remove_hop_fields(head);
+    remove_own_fields(head);
     head.erase(http::field::content_length);
     add_own_fields(head);
     head.set(outcome_header, "complete");
@@ -575,6 +660,9 @@
     }
     http::header<false> head;
     set_conclusion(head, end, m_retry_hint);
+    if (m_retry_hint > milliseconds::zero()) {
+        head.set(retry_after_header, std::to_string(m_retry_hint.count()));
+    }
     add_own_fields(head);
     reason why;
     m_watch.reset();
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -6,7 +6,6 @@
 // own fiber in run().
 #pragma once
 
-#include "pomelohead/forwarding/connection_watch.h"
 #include "pomelohead/forwarding/owner_service.h"
 #include "pomelohead/outcome/owner_machine.h"
 
@@ -45,6 +44,9 @@
     void connect_target();
     void write_request();
     bool send_rest_of_body(message_writer& writer);
+    void send_kept_body(message_writer& writer);
+    [[nodiscard]] bool read_own_head(reason& why);
+    bool skip_answer(reason& why);
     void read_answer();
     void take_whole_answer(const http::header<false>& head, std::string body);
     void stream_answer(const http::header<false>& head, const std::string& first_piece);
@@ -74,9 +76,11 @@
     outcome::owner_state m_state;
     std::deque<outcome::owner_action> m_todo;
     fiber_event m_changed;
-    std::unique_ptr<connection_watch> m_watch;
+    std::unique_ptr<exchange_watch> m_watch;
     std::unique_ptr<client_connection> m_connection;
     std::optional<response_reader> m_reader;
+    bool m_body_sent = true; ///< the target's connection has been given the whole request
+    fiber_group m_body_sender;
     outcome::kept_answer_ptr m_answer; ///< the target's whole answer, where it is small
     admission::run_end m_run_end = admission::run_end::cut; ///< what its slot is given back with
     time_point m_arrived{};
--- a/pomelohead/forwarding/owner_service.h
+++ b/pomelohead/forwarding/owner_service.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "pomelohead/forwarding/crash_spread.h"
+#include "pomelohead/forwarding/dialect.h"
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/forwarding/owned_target.h"
 #include "pomelohead/outcome/ticket.h"
@@ -32,6 +33,7 @@
     admission::admission_options m_admission;
     outcome::quarantine_options m_quarantine;
     outcome::ticket_options m_tickets;
+    dialect m_dialect = make_own_dialect(); ///< of the targets
 };
 
 /// What the owner side asks the rest of the node.
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -31,27 +31,38 @@
 
 } // namespace
 
-node::node(settings::node_settings settings, boost::asio::io_context& io)
+node::node(settings::node_settings settings, boost::asio::io_context& io, adapter parts)
     : m_settings(std::move(settings)), m_timers(io), m_incarnation(make_incarnation()),
       m_started(m_timers.now()), m_freeze(freeze_limit, m_started),
+      m_catalog(m_settings.m_store
+                    ? std::make_unique<discovery::catalog>(
+                          source::follower_options{}, m_timers,
+                          parts.m_open_store(io, *m_settings.m_store), parts.m_decode,
+                          m_incarnation)
+                    : nullptr),
       m_distributor(distribution_options_of(m_settings), m_timers, io),
-      m_members([this] { return m_distributor.members(); }),
+      m_members([this] {
+          return m_catalog ? std::vector<membership::member>{} : m_distributor.members();
+      }),
       m_shutdown(m_timers, shutdown_options_of(m_settings),
                  [this](lifecycle::shutdown_phase phase) { on_phase(phase); }),
-      m_owner(io, m_timers, m_stats, owner_options_of(m_settings, m_incarnation),
-              {.m_config = [this] { return m_distributor.current(); },
+      m_owner(io, m_timers, m_stats, owner_options_of(m_settings, parts.m_dialect, m_incarnation),
+              {.m_config = [this] { return current(); },
                .m_is_draining = [this](const std::string& target) { return is_draining(target); },
                .m_request_began = [this] { m_shutdown.request_began(); },
                .m_request_ended = [this] { m_shutdown.request_ended(); }}),
       m_entry(
-          io, m_timers, m_stats, entry_options_of(m_settings, m_incarnation),
-          {.m_config = [this] { return m_distributor.current(); },
+          io, m_timers, m_stats, entry_options_of(m_settings, parts.m_dialect, m_incarnation),
+          {.m_config = [this] { return current(); },
            .m_is_alive = [this](const std::string& address) { return m_members.is_alive(address); },
            .m_is_host = [this](const std::string& address) { return is_host(address); },
            .m_request_began = [this] { m_shutdown.request_began(); },
            .m_request_ended = [this] { m_shutdown.request_ended(); }}),
       m_admin(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_admin_port}, {},
-              [this](forwarding::server_exchange& e) { serve_admin(*this, e); })
+              [this](forwarding::server_exchange& e) { serve_admin(*this, e); }),
+      m_ready_path(parts.m_dialect.m_ready_path),
+      m_ready(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_ready_port}, {},
+              [this](forwarding::server_exchange& e) { serve_ready(e); })
 {
     add_gauges();
 }
@@ -61,7 +72,10 @@
 void node::add_gauges()
 {
     m_stats.gauge("config_version",
-                  [this] { return static_cast<double>(m_distributor.status().m_version); });
+                  [this] {
+                      const config::snapshot_ptr now = current();
+                      return now ? static_cast<double>(now->m_version) : 0.0;
+                  });
     m_stats.gauge("config_age_seconds",
                   [this] { return seconds_or(m_distributor.status().m_config_age, -1); });
     m_stats.gauge("source_up",
@@ -76,11 +90,23 @@
 
 bool node::start(reason& why)
 {
-    m_distributor.on_applied([this](const config::snapshot_ptr& now) { on_configuration(now); });
-    if (!m_admin.start(why) || !m_owner.start(why) || !m_distributor.start(why) ||
-        !m_entry.start(why)) {
+    const auto on_applied = [this](const config::snapshot_ptr& now) { on_configuration(now); };
+    if (!m_admin.start(why) || !m_owner.start(why) || !m_entry.start(why)) {
         return false;
     }
+    if (m_settings.m_listen.m_ready_port != 0 && !m_ready.start(why)) {
+        return false;
+    }
+    if (m_catalog) {
+        m_catalog->on_snapshot(on_applied);
+        m_catalog->start();
+    }
+    else {
+        m_distributor.on_applied(on_applied);
+        if (!m_distributor.start(why)) {
+            return false;
+        }
+    }
     m_refresh = m_timers.every(refresh_period, [this] { refresh(); });
     log_event(log_level::info, "started",
               {{"address", m_settings.m_listen.m_address}, {"incarnation", m_incarnation}});
@@ -95,9 +121,39 @@
     m_stats.add("versions_applied_total");
 }
 
+config::snapshot_ptr node::current() const
+{
+    return m_catalog ? m_catalog->current() : m_distributor.current();
+}
+
+bool node::is_confirmed() const
+{
+    return m_catalog ? m_catalog->is_confirmed() : m_distributor.status().m_confirmed;
+}
+
+bool node::is_ready() const
+{
+    return current() != nullptr && lifecycle::accepts_work(m_shutdown.phase());
+}
+
+void node::serve_ready(forwarding::server_exchange& exchange)
+{
+    constexpr unsigned status_ok = 200;
+    constexpr unsigned status_not_found = 404;
+    constexpr unsigned status_unavailable = 503;
+    constexpr duration answer_limit = std::chrono::seconds(1);
+    forwarding::http::header<false> head;
+    const bool is_known = exchange.request().head().target() == m_ready_path;
+    head.result(!is_known    ? status_not_found
+                : is_ready() ? status_ok
+                             : status_unavailable);
+    reason why;
+    exchange.respond(std::move(head), {}, clock_type::now() + answer_limit, why);
+}
+
 bool node::is_host(const std::string& address) const
 {
-    const config::snapshot_ptr config = m_distributor.current();
+    const config::snapshot_ptr config = current();
     return m_members.is_known(address) || (config && config->has_host(address));
 }
 
@@ -105,7 +161,7 @@
 {
     notice_freeze();
     m_members.refresh();
-    if (m_hold_until && (m_timers.now() >= *m_hold_until || m_distributor.status().m_confirmed)) {
+    if (m_hold_until && (m_timers.now() >= *m_hold_until || is_confirmed())) {
         m_hold_until.reset();
     }
 }
@@ -122,12 +178,15 @@
     m_stats.add("freezes_total");
     log_event(log_level::warning, "woke_from_freeze",
               {{"seconds", std::chrono::duration<double>(*frozen).count()}});
+    if (m_catalog) {
+        m_catalog->restart();
+    }
     m_owner.recheck();
 }
 
 lifecycle::drain_view node::drain_view_of(const std::string& target) const
 {
-    const config::snapshot_ptr config = m_distributor.current();
+    const config::snapshot_ptr config = current();
     lifecycle::drain_view view;
     view.m_in_configuration = config && config->is_draining(target);
     view.m_in_host_list = m_members.is_leaving(m_settings.m_listen.m_address);
@@ -155,7 +214,9 @@
     case lifecycle::shutdown_phase::serving:
         return;
     case lifecycle::shutdown_phase::announcing:
-        m_distributor.announce_leaving();
+        if (!m_catalog) {
+            m_distributor.announce_leaving();
+        }
         m_entry.server().announce_close();
         return;
     case lifecycle::shutdown_phase::finishing:
@@ -178,10 +239,17 @@
     m_entry.server().wait();
     m_owner.server().wait();
     m_refresh.cancel();
-    m_distributor.stop();
-    m_admin.close_listener();
-    m_admin.abort();
-    m_admin.wait();
+    if (m_catalog) {
+        m_catalog->stop();
+    }
+    else {
+        m_distributor.stop();
+    }
+    for (forwarding::http_server* server : {&m_admin, &m_ready}) {
+        server->close_listener();
+        server->abort();
+        server->wait();
+    }
     log_event(log_level::info, "stopped");
 }
 
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -13,6 +13,8 @@
 
 #include "pomelohead/lifecycle/drain.h"
 #include "pomelohead/lifecycle/freeze.h"
+#include "pomelohead/discovery/catalog.h"
+#include "pomelohead/node/adapter.h"
 #include "pomelohead/node/member_view.h"
 #include "pomelohead/node/node_options.h"
 #include "pomelohead/runtime/asio_timer_service.h"
@@ -23,7 +25,7 @@
 class node {
 public:
     /// `io` must outlive the node.
-    node(settings::node_settings settings, boost::asio::io_context& io);
+    node(settings::node_settings settings, boost::asio::io_context& io, adapter parts = {});
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node();
@@ -48,6 +50,11 @@
     [[nodiscard]] std::string drain_sources(const std::string& target) const;
 
     [[nodiscard]] const settings::node_settings& settings() const { return m_settings; }
+    /// The configuration in force with its targets; null before the first.
+    [[nodiscard]] config::snapshot_ptr current() const;
+    /// Whether callers may be sent to this node.
+    [[nodiscard]] bool is_ready() const;
+
     [[nodiscard]] distribution::distributor& distributor() { return m_distributor; }
     [[nodiscard]] forwarding::entry_service& entry() { return m_entry; }
     [[nodiscard]] forwarding::owner_service& owner() { return m_owner; }
@@ -63,6 +70,8 @@
     void add_gauges();
     void refresh();
     void notice_freeze();
+    [[nodiscard]] bool is_confirmed() const;
+    void serve_ready(forwarding::server_exchange& exchange);
     [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
 
@@ -75,12 +84,15 @@
     lifecycle::freeze_detector m_freeze;
     std::optional<time_point>
         m_hold_until; ///< after a freeze: no new work, unless confirmed before
-    distribution::distributor m_distributor;
+    std::unique_ptr<discovery::catalog> m_catalog; ///< where the settings name a store
+    distribution::distributor m_distributor;       ///< elsewhere
     member_view m_members;
     lifecycle::graceful_shutdown m_shutdown;
     forwarding::owner_service m_owner;
     forwarding::entry_service m_entry;
     forwarding::http_server m_admin;
+    std::string m_ready_path;
+    forwarding::http_server m_ready;
     fiber_event m_stopped;
     timer_subscription m_refresh;
 };
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -95,6 +95,7 @@
 }
 
 forwarding::entry_options entry_options_of(const settings::node_settings& settings,
+                                           const forwarding::dialect& names,
                                            std::uint64_t incarnation)
 {
     const knob_reader knobs(settings);
@@ -108,10 +109,13 @@
     options.m_kept_bytes_per_request = knobs.whole<std::size_t>("upload_buffer_kib") * kib;
     options.m_kept_bytes = knobs.whole<std::size_t>("upload_buffers_mib") * mib;
     options.m_routing = routing_options_of(knobs);
+    options.m_dialect = names;
+    options.m_service = settings.m_service;
     return options;
 }
 
 forwarding::owner_options owner_options_of(const settings::node_settings& settings,
+                                           const forwarding::dialect& names,
                                            std::uint64_t incarnation)
 {
     const knob_reader knobs(settings);
@@ -124,6 +128,7 @@
     options.m_quarantine.m_lifetime = knobs.seconds("quarantine_s");
     options.m_tickets.m_lifetime = knobs.seconds("ticket_s");
     options.m_tickets.m_answer_lifetime = knobs.seconds("ticket_s");
+    options.m_dialect = names;
     return options;
 }
 
@@ -135,6 +140,9 @@
     if (knobs.number("stop_limit_s") > 0) {
         options.m_bound = knobs.seconds("stop_limit_s");
     }
+    else if (settings.m_stop_limit) {
+        options.m_bound = *settings.m_stop_limit;
+    }
     return options;
 }
 
--- a/pomelohead/node/node_options.h
+++ b/pomelohead/node/node_options.h
@@ -16,9 +16,11 @@
 
 /// `incarnation` seeds the entry's random choices, so that nodes differ.
 [[nodiscard]] forwarding::entry_options entry_options_of(const settings::node_settings& settings,
+                                                         const forwarding::dialect& names,
                                                          std::uint64_t incarnation);
 
 [[nodiscard]] forwarding::owner_options owner_options_of(const settings::node_settings& settings,
+                                                         const forwarding::dialect& names,
                                                          std::uint64_t incarnation);
 
 [[nodiscard]] lifecycle::shutdown_options
--- a/pomelohead/outcome/entry_machine.cc
+++ b/pomelohead/outcome/entry_machine.cc
@@ -44,6 +44,16 @@
     });
 }
 
+// Whether one more target may run the request, beside those that may have.
+bool may_reach_another(const entry_state& state)
+{
+    const auto reached = std::ranges::count_if(state.m_attempts, [](attempt_phase phase) {
+        return phase != attempt_phase::not_sent && phase != attempt_phase::not_run;
+    });
+    return state.m_facts.m_max_targets == 0 ||
+           static_cast<std::size_t>(reached) < state.m_facts.m_max_targets;
+}
+
 class stepper {
 public:
     explicit stepper(const entry_state& state) : m_next{state, {}} {}
@@ -187,7 +197,8 @@
         const entry_state& now = state();
         // A ticket's owner has spoken or is lost; nobody else may run the request.
         if (now.m_facts.m_has_ticket || !now.m_body_kept || is_same_everywhere(now.m_last_cause) ||
-            now.m_attempts.size() >= now.m_facts.m_attempts || now.m_crashes >= max_crashes) {
+            now.m_attempts.size() >= now.m_facts.m_attempts || now.m_crashes >= max_crashes ||
+            !may_reach_another(now)) {
             return false;
         }
         return now.m_facts.m_idempotent || !has_doubt(now);
@@ -240,7 +251,7 @@
 {
     return state.m_facts.m_idempotent && !state.m_facts.m_has_ticket && state.m_body_kept &&
            !state.m_answer_begun && !state.m_finished &&
-           state.m_attempts.size() < state.m_facts.m_attempts &&
+           state.m_attempts.size() < state.m_facts.m_attempts && may_reach_another(state) &&
            std::ranges::find(state.m_attempts, attempt_phase::answering) == state.m_attempts.end();
 }
 
--- a/pomelohead/outcome/entry_machine.h
+++ b/pomelohead/outcome/entry_machine.h
@@ -35,6 +35,9 @@
     bool m_idempotent = false;  ///< running it twice is the same as once
     bool m_has_ticket = false;  ///< only the ticket's owner may run it or refuse it as not run
     std::size_t m_attempts = 3; ///< the most attempts, hedges included; at least 1
+    /// The most targets that may run it. Attempts that are known not to have run do not
+    /// count. 0: no limit but m_attempts.
+    std::size_t m_max_targets = 0;
 
     bool operator==(const entry_facts&) const = default;
 };
--- a/pomelohead/outcome/owner_machine.h
+++ b/pomelohead/outcome/owner_machine.h
@@ -63,7 +63,7 @@
     ready_to_write, ///< connected; the next call may write the first byte; with m_facts
     facts_changed,  ///< drain, version swap, quarantine or a thaw after a freeze; with m_facts
     connect_failed, ///< no connection to the target was made
-    target_refused, ///< the target declined it unrun
+    target_refused, ///< the target declined it unrun, for m_cause if there is one
     target_lost,    ///< m_cause: target_lost, target_crashed, short_answer or foreign_answer
     answer_begins,  ///< the next call may write an answer's first byte to the entry
     answer_whole,   ///< the target's answer is whole and its own
@@ -73,7 +73,7 @@
 
 struct owner_event {
     owner_event_kind m_kind = owner_event_kind::deadline;
-    cause m_cause = cause::none; ///< for refused and target_lost
+    cause m_cause = cause::none; ///< for refused, target_refused and target_lost
     handover_facts m_facts{};
 
     bool operator==(const owner_event&) const = default;
--- a/pomelohead/settings/node_settings.cc
+++ b/pomelohead/settings/node_settings.cc
@@ -129,15 +129,20 @@
     {
     }
 
+    void run_policy()
+    {
+        for (const auto& [name, value] : m_settings.m_policy) {
+            check_policy(name, value);
+        }
+    }
+
     void run()
     {
         check_address("/listen/address", m_settings.m_listen.m_address);
         check_address("/source/address", m_settings.m_source.m_address);
         check_ports();
         check_peers();
-        for (const auto& [name, value] : m_settings.m_policy) {
-            check_policy(name, value);
-        }
+        run_policy();
     }
 
 private:
@@ -202,6 +207,14 @@
     std::vector<setting_fault>& m_faults;
 };
 
+void read_policy(const json& policy, node_settings& s)
+{
+    for (const auto& [name, value] : policy.items()) {
+        s.m_policy[name] =
+            value.is_boolean() ? (value.get<bool>() ? 1.0 : 0.0) : value.get<double>();
+    }
+}
+
 node_settings read(const json& file)
 {
     node_settings s;
@@ -219,11 +232,7 @@
     s.m_peers = file.value("peers", s.m_peers);
     s.m_log_level = file.value("log", json::object()).value("level", s.m_log_level);
     s.m_testing = file.value("testing", false);
-    const json policy = file.value("policy", json::object());
-    for (const auto& [name, value] : policy.items()) {
-        s.m_policy[name] =
-            value.is_boolean() ? (value.get<bool>() ? 1.0 : 0.0) : value.get<double>();
-    }
+    read_policy(file.value("policy", json::object()), s);
     return s;
 }
 
@@ -238,6 +247,21 @@
     return out + ": " + fault.m_allowed;
 }
 
+void parse_policy(std::string_view text, node_settings& settings,
+                  std::vector<setting_fault>& faults)
+{
+    const json policy = json::parse(text, nullptr, false);
+    const bool is_good = policy.is_object() && std::ranges::all_of(policy, [](const json& value) {
+        return value.is_boolean() || value.is_number();
+    });
+    if (!is_good) {
+        faults.push_back({"/policy", "", "must be an object of numbers and booleans"});
+        return;
+    }
+    read_policy(policy, settings);
+    semantic_checker(settings, faults).run_policy();
+}
+
 std::optional<node_settings> parse_settings(std::string_view text,
                                             std::vector<setting_fault>& faults)
 {
--- a/pomelohead/settings/node_settings.h
+++ b/pomelohead/settings/node_settings.h
@@ -9,6 +9,7 @@
 //     for (const setting_fault& f : faults) std::cerr << to_string(f) << '\n';
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -25,6 +26,7 @@
     std::uint16_t m_owner_port = 7401; ///< requests from other nodes for the target beside this one
     std::uint16_t m_control_port = 7402; ///< configuration and membership between nodes
     std::uint16_t m_admin_port = 7403;   ///< operators
+    std::uint16_t m_ready_port = 0;      ///< asked whether callers may be sent here; 0: none
 
     bool operator==(const listen_settings&) const = default;
 };
@@ -44,6 +46,9 @@
     std::string m_failure_domain;
     listen_settings m_listen;
     source_settings m_source;
+    std::optional<source_settings> m_store; ///< a key-value store in place of m_source
+    std::string m_service; ///< runs on this host and calls through this node; may be empty
+    std::optional<std::chrono::seconds> m_stop_limit; ///< the host ends the process after it
     std::vector<std::string> m_peers; ///< IP addresses of some other hosts
     std::string m_log_level = "info";
     bool m_testing = false;                 ///< lets the admin port bring about faults
@@ -68,6 +73,10 @@
 [[nodiscard]] std::optional<node_settings> parse_settings(std::string_view text,
                                                           std::vector<setting_fault>& faults);
 
+/// Puts the policy settings of a JSON object over those of `settings`.
+void parse_policy(std::string_view text, node_settings& settings,
+                  std::vector<setting_fault>& faults);
+
 /// The JSON schema of the file; each description says what is allowed.
 [[nodiscard]] std::string_view settings_schema();
 
