A target that another one has displaced gets no more work at its address

Each request to the old id reached the new target, which answered 421, at up to four owners in turn.

Ruled out: retries after failures (their budget was not used up). Change: the directory uses only the later start of two registrations at one address; an owner that is answered 421 refuses that target itself for 5 s and says so in its word; an owner that does not know the target says so too, so entries look elsewhere.

--- a/pomelohead/discovery/directory.cc
+++ b/pomelohead/discovery/directory.cc
@@ -115,10 +115,24 @@
     m_on_snapshot(m_current);
 }
 
+// Two targets cannot stand at one address: the registration of one that has ended may
+// outlive it. Of two whose starts are not known, neither is preferred.
+bool directory::is_displaced(const instance& item) const
+{
+    return std::ranges::any_of(m_instances, [&item](const auto& entry) {
+        const instance& other = entry.second;
+        return other.m_host == item.m_host && other.m_port == item.m_port &&
+               other.m_started_ms > item.m_started_ms && item.m_started_ms > 0;
+    });
+}
+
 config::snapshot directory::join() const
 {
     config::snapshot joined = *m_configuration;
     for (const auto& [key, item] : m_instances) {
+        if (is_displaced(item)) {
+            continue;
+        }
         const auto owner =
             std::ranges::lower_bound(joined.m_services, item.m_service, {}, &config::service::m_name);
         if (owner == joined.m_services.end() || owner->m_name != item.m_service) {
--- a/pomelohead/discovery/directory.h
+++ b/pomelohead/discovery/directory.h
@@ -9,7 +9,8 @@
 //   - the configuration's version only grows; another content under the version in
 //     force is refused, and an invalid one is refused whole;
 //   - of two registrations under one key, that of the earlier start never replaces
-//     that of the later one.
+//     that of the later one;
+//   - of two registrations at one address, only that of the later start is in the snapshot.
 //
 //     directory targets(decode, on_snapshot);
 //     targets.put({.m_key = "op/config", .m_revision = 7, .m_value = bytes});
@@ -61,6 +62,7 @@
     void take_configuration(config::snapshot offered, std::uint64_t revision);
     void take_instance(const std::string& key, instance offered);
     void refuse(const std::string& key, reason why);
+    [[nodiscard]] bool is_displaced(const instance& item) const;
     [[nodiscard]] config::snapshot join() const;
 
     decode_fn m_decode;
--- a/pomelohead/forwarding/owned_target.h
+++ b/pomelohead/forwarding/owned_target.h
@@ -51,6 +51,11 @@
     /// Gives back a slot.
     void release(std::uint64_t id, admission::run_end how);
 
+    /// Notes that another target answers at the address. This one is given no more work
+    /// for a while, so that its registration has time to go.
+    void displaced() { m_displaced_until = m_timers.now() + displaced_hold; }
+    [[nodiscard]] bool is_displaced() const { return m_timers.now() < m_displaced_until; }
+
     [[nodiscard]] admission::load_word word() const { return m_queue.word(); }
     [[nodiscard]] const admission::slot_queue& queue() const { return m_queue; }
     [[nodiscard]] connection_pool& pool() { return m_pool; }
@@ -70,6 +75,9 @@
     [[nodiscard]] bool probe_crashed(std::uint64_t epoch);
 
 private:
+    // A registration lapses within three heartbeats, which are a second or two apart.
+    static constexpr duration displaced_hold = std::chrono::seconds(5);
+
     struct flight {
         std::uint64_t m_epoch = 0;
         std::string m_fingerprint;
@@ -85,6 +93,7 @@
     connection_pool m_pool;
     std::uint64_t m_last_id = 0;
     std::uint64_t m_epoch = 1;
+    time_point m_displaced_until{};
     std::uint64_t m_apart_id = 0; ///< the request that runs apart; 0: none
     std::map<std::uint64_t, slot_hooks> m_waiting;
     std::map<std::uint64_t, flight> m_flights;
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -346,7 +346,8 @@
     const auto it = m_service.m_targets.find(name);
     return {.m_deadline_passed = clock_type::now() >= m_deadline,
             .m_draining = m_service.m_hooks.m_is_draining(name),
-            .m_owns_target = it != m_service.m_targets.end() && it->second == m_target,
+            .m_owns_target = it != m_service.m_targets.end() && it->second == m_target &&
+                             !m_target->is_displaced(),
             .m_quarantined =
                 m_service.m_quarantine.check(m_fingerprint, m_service.m_timers.now()) ==
                 outcome::quarantine_verdict::refuse,
@@ -534,6 +535,9 @@
     const target_answer verdict = m_service.m_options.m_dialect.m_judge_answer(head);
     if (verdict == target_answer::declined || verdict == target_answer::misdirected) {
         // The word stands in the head; a cut body takes nothing from it.
+        if (verdict == target_answer::misdirected) {
+            m_target->displaced();
+        }
         keep_connection();
         m_run_end = admission::run_end::refused;
         feed({.m_kind = owner_event_kind::target_refused,
@@ -642,10 +646,15 @@
 void owner_exchange::add_own_fields(http::header<false>& head) const
 {
     head.set(request_id_header, m_request_id);
-    if (m_target) {
+    if (!m_target) {
+        // Not this owner's target: entries are not to send it more for a while.
+        head.set(word_header, word_text({}, m_service.m_options.m_incarnation, true));
+    }
+    else {
         head.set(word_header,
                  word_text(m_target->word(), m_service.m_options.m_incarnation,
-                           m_service.m_hooks.m_is_draining(m_target->target().m_name)));
+                           m_target->is_displaced() ||
+                               m_service.m_hooks.m_is_draining(m_target->target().m_name)));
     }
 }
 
