Fibers that wait for their turn on one connection no longer lose wake-ups

Of two fibers that wait on one fiber_event, the first to run resets it before the second has looked.

Change: fiber_condition, where each waiter has its own condition; the turn uses it.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -54,7 +54,7 @@
     for (const auto& [request, hook] : hooks) {
         hook();
     }
-    c.m_turn.set();
+    c.m_turn.notify();
 }
 
 } // namespace detail
@@ -84,10 +84,8 @@
 
 bool server_exchange::wait_for_turn(reason& why)
 {
-    while (!m_connection.m_ended && m_connection.m_finished + 1 < m_number) {
-        m_connection.m_turn.reset();
-        m_connection.m_turn.wait();
-    }
+    m_connection.m_turn.wait(
+        [this] { return m_connection.m_ended || m_connection.m_finished + 1 >= m_number; });
     if (m_connection.m_ended) {
         why = {reason_code::interrupted, "the connection has ended"};
         m_close = true;
@@ -326,7 +324,7 @@
         }
         return 0;
     }
-    c.m_turn.set();
+    c.m_turn.notify();
     return is_read_ahead ? 0 : ++c.m_begun;
 }
 
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -60,7 +60,7 @@
     std::uint64_t m_begun = 0;    ///< requests that a fiber reads or has read
     std::uint64_t m_finished = 0; ///< requests that are over; their order is that of arrival
     std::size_t m_fibers = 0;     ///< that serve the connection
-    fiber_event m_turn;           ///< set when m_finished or m_ended changes
+    fiber_condition m_turn;       ///< notified when m_finished or m_ended changes
     std::map<std::uint64_t, std::function<void()>> m_on_gone; ///< by request
 };
 
--- a/pomelohead/runtime/fiber.cc
+++ b/pomelohead/runtime/fiber.cc
@@ -113,6 +113,12 @@
     m_ended.wait(lock, [this] { return m_running == 0; });
 }
 
+void fiber_condition::wait(const std::function<bool()>& is_met)
+{
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    m_changed.wait(lock, is_met);
+}
+
 void fiber_event::set()
 {
     m_set = true;
--- a/pomelohead/runtime/fiber.h
+++ b/pomelohead/runtime/fiber.h
@@ -88,7 +88,22 @@
     boost::fibers::condition_variable m_ended;
 };
 
-/// A one-shot or repeatable signal between fibers of one thread.
+/// A state that several fibers of one thread may wait for, each for its own condition.
+class fiber_condition {
+public:
+    /// Lets all waiting fibers look at their conditions again.
+    void notify() { m_changed.notify_all(); }
+
+    /// Suspends the calling fiber until `is_met()`.
+    void wait(const std::function<bool()>& is_met);
+
+private:
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_changed;
+};
+
+/// A one-shot or repeatable signal to one fiber of the same thread. A reset() between
+/// set() and the wake-up of another waiting fiber would be lost on that one.
 class fiber_event {
 public:
     /// Wakes all waiting fibers, and lets later waits pass until reset().
