A stopped node's process ends at once on the users' machines; logs on standard output

Markers showed the end of log4cplus, which joins the four threads of its pool; that did not return there. On an ordinary machine it does.

Ruled out: fibers of the node (all had ended, the node was destroyed); destroying the library earlier, or never (its own static objects join as well). Change: the node command ends the process itself once the node is destroyed; the pool has one thread instead of four. The log goes to standard output, as the users ask. An unreachable store is reported once, not at each try.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -132,8 +132,14 @@
         std::cout << path << ": no faults\n";
         return exit_good;
     }
-    return run_node(std::move(*settings),
-                    arguments.m_on_platform ? platform::make_adapter() : node::adapter{});
+    const int code = run_node(std::move(*settings), arguments.m_on_platform
+                                                        ? platform::make_adapter()
+                                                        : node::adapter{});
+    // Everything of the node has ended. At a normal exit log4cplus joins the threads of its
+    // pool, which does not return on machines that run one thread at a time.
+    std::cout.flush();
+    std::fflush(stdout);
+    std::_Exit(code);
 }
 
 } // namespace
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -209,7 +209,11 @@
 
 void node::on_phase(lifecycle::shutdown_phase phase)
 {
-    log_event(log_level::info, "stopping", {{"phase", lifecycle::to_string(phase)}});
+    log_event(log_level::info, "stopping",
+              {{"phase", lifecycle::to_string(phase)},
+               {"in_flight", m_shutdown.state().m_in_flight},
+               {"entry_connections", m_entry.server().connections()},
+               {"owner_connections", m_owner.server().connections()}});
     switch (phase) {
     case lifecycle::shutdown_phase::serving:
         return;
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -177,8 +177,9 @@
 
 void store_follower::failed(const reason& why)
 {
-    if (m_status.m_up || !m_status.m_last_contact) {
+    if (m_status.m_up || !m_reported) {
         m_hooks.m_lost(why);
+        m_reported = true;
     }
     m_status.m_up = false;
     m_status.m_last_failure = why;
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -101,6 +101,7 @@
     follower_status m_status;
     std::uint64_t m_generation = 0;   // answers to calls of an earlier one are ignored
     std::uint64_t m_list_revision = 0; // of the first page of the list under way
+    bool m_reported = false;          // a failure has been reported since the start
     bool m_was_up = false;            // the store has answered before
     std::optional<time_point> m_regained;
     std::map<std::string, known_key> m_keys;
--- a/pomelohead/telemetry/log.cc
+++ b/pomelohead/telemetry/log.cc
@@ -1,6 +1,6 @@
 #include "pomelohead/telemetry/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <nlohmann/json.hpp>
@@ -9,6 +9,7 @@
 #include <ctime>
 #include <memory>
 #include <optional>
+#include <sstream>
 
 namespace pomelohead {
 namespace {
@@ -77,10 +78,14 @@
 {
     state().emplace();
     state()->m_node = node;
-    log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-    console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-    state()->m_logger.removeAllAppenders();
-    state()->m_logger.addAppender(console);
+    // The library's threads serve asynchronous appenders only, and cannot be fewer than one.
+    std::istringstream properties("log4cplus.threadPoolSize=1\n"
+                                  "log4cplus.rootLogger=INFO, console\n"
+                                  "log4cplus.appender.console=log4cplus::ConsoleAppender\n"
+                                  "log4cplus.appender.console.ImmediateFlush=true\n"
+                                  "log4cplus.appender.console.layout=log4cplus::PatternLayout\n"
+                                  "log4cplus.appender.console.layout.ConversionPattern=%m%n\n");
+    log4cplus::PropertyConfigurator(properties).configure();
     state()->m_logger.setLogLevel(library_level(lowest));
 }
 
--- a/pomelohead/telemetry/log.h
+++ b/pomelohead/telemetry/log.h
@@ -1,4 +1,4 @@
-// Log lines as JSON objects, one per line, on standard error.
+// Log lines as JSON objects, one per line, on standard output.
 //
 //     init_logging(log_level::info, "dolgellau-1");
 //     log_event(log_level::warning, "version_refused",
