Retries have a budget for each service, and refusals by targets draw on it; silent connections are noticed

Ruled out: retries after failures (bounded before); a store that had forgotten. Connections that a node opens have keep-alive probes (3 s) and a user time-out (2 s).

--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -1,9 +1,14 @@
 #include "pomelohead/forwarding/connection_pool.h"
 
+#include "pomelohead/telemetry/log.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <charconv>
+#include <system_error>
 
 namespace pomelohead::forwarding {
 namespace {
@@ -22,6 +27,33 @@
 // margin covers the way there and a busy target.
 constexpr duration close_margin = std::chrono::milliseconds(500);
 
+// A machine that is cut off or has lost power says nothing: the kernel's probes tell
+// within idle_s + probes * interval_s, and unacknowledged data within user_timeout_ms.
+// Together they stay below the 3 s after which a healed connection counts as calm.
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+constexpr unsigned user_timeout_ms = 2'000;
+
+void notice_silence(int socket)
+{
+    const int on = 1;
+    const bool good =
+        ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_idle_s,
+                     sizeof keepalive_idle_s) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s,
+                     sizeof keepalive_interval_s) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes,
+                     sizeof keepalive_probes) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+                     sizeof user_timeout_ms) == 0;
+    if (!good) {
+        log_event(log_level::warning, "socket_option_refused",
+                  {{"why", std::generic_category().message(errno)}});
+    }
+}
+
 } // namespace
 
 bool is_stale(client_connection& c)
@@ -51,6 +83,7 @@
         return nullptr;
     }
     c->m_stream.expires_never();
+    notice_silence(c->m_stream.socket().native_handle());
     error_code ignored;
     c->m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     return c;
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -257,8 +257,11 @@
     }
     routing::retry_policy& retries = m_service.m_retries;
     const duration waited = clock_type::now() - m_arrived;
-    const bool granted =
-        never_ran ? retries.may_resend(m_call, waited, now) : retries.may_retry(m_call, now);
+    const std::string& service = m_target_set->m_name;
+    const bool granted = why == cause::target_refused
+                             ? retries.may_retry_refused(m_call, now, service)
+                         : never_ran ? retries.may_resend(m_call, waited, now)
+                                     : retries.may_retry(m_call, now, service);
     m_service.m_stats.add(granted ? "retries_total" : "retries_refused_total",
                           {{"after", never_ran ? "not-run" : "unknown"}});
     return granted;
@@ -347,7 +350,7 @@
     }
     feed({.m_kind = entry_event_kind::answer_whole});
     const time_point now = m_service.m_timers.now();
-    m_service.m_retries.answered(now);
+    m_service.m_retries.answered(now, m_target_set->m_name);
     if (m_call.m_class == config::work_class::short_work) {
         m_service.m_hedges.answered(m_target_set->m_name, clock_type::now() - m_arrived, now);
     }
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -61,6 +61,7 @@
     options.m_retry_budget = knobs.on("retry_budget");
     options.m_hedging = knobs.on("hedging");
     options.m_retry_share = knobs.number("retry_share");
+    options.m_budget_cap = knobs.number("retry_cap");
     options.m_resend_share = knobs.number("resend_share");
     options.m_resend_window = milliseconds(knobs.whole<std::int64_t>("resend_window_ms"));
     options.m_slow_ratio = knobs.number("slow_ratio");
--- a/pomelohead/routing/retry_policy.cc
+++ b/pomelohead/routing/retry_policy.cc
@@ -12,11 +12,18 @@
     : m_options(options),
       // Full at first: a resend costs no target anything, and part of the budget is kept.
       m_resends(options.m_resend_share, options.m_budget_floor_per_s, options.m_resend_cap,
-                options.m_resend_cap),
-      m_retries(options.m_retry_share, options.m_budget_floor_per_s, options.m_budget_cap)
+                options.m_resend_cap)
 {
 }
 
+retry_budget& retry_policy::retries_of(const std::string& service)
+{
+    return m_retries
+        .try_emplace(service, m_options.m_retry_share, m_options.m_budget_floor_per_s,
+                     m_options.m_budget_cap)
+        .first->second;
+}
+
 bool retry_policy::may_resend(const call_facts& call, duration elapsed, time_point now)
 {
     const bool is_short = call.m_class == config::work_class::short_work;
@@ -28,18 +35,21 @@
     return !m_options.m_retry_budget || m_resends.take(now, 0, kept);
 }
 
-bool retry_policy::may_retry(const call_facts& call, time_point now)
+bool retry_policy::may_retry(const call_facts& call, time_point now, const std::string& service)
 {
-    if (!call.m_idempotent) {
-        return false;
-    }
-    return !m_options.m_retry_budget || m_retries.take(now, call.m_depth);
+    return call.m_idempotent && may_retry_refused(call, now, service);
+}
+
+bool retry_policy::may_retry_refused(const call_facts& call, time_point now,
+                                     const std::string& service)
+{
+    return !m_options.m_retry_budget || retries_of(service).take(now, call.m_depth);
 }
 
-void retry_policy::answered(time_point now)
+void retry_policy::answered(time_point now, const std::string& service)
 {
     m_resends.success(now);
-    m_retries.success(now);
+    retries_of(service).success(now);
 }
 
 } // namespace pomelohead::routing
--- a/pomelohead/routing/retry_policy.h
+++ b/pomelohead/routing/retry_policy.h
@@ -15,6 +15,9 @@
 #include "pomelohead/routing/options.h"
 #include "pomelohead/routing/retry_budget.h"
 
+#include <string>
+#include <unordered_map>
+
 namespace pomelohead::routing {
 
 /// Retry decisions of one entry; a granted attempt is taken from its budget.
@@ -26,16 +29,25 @@
     /// kept the call waiting; zero where no connection was made.
     [[nodiscard]] bool may_resend(const call_facts& call, duration elapsed, time_point now);
 
-    /// After an attempt was lost or timed out, with time left for another one.
-    [[nodiscard]] bool may_retry(const call_facts& call, time_point now);
+    /// After an attempt was lost or timed out, with time left for another one. `service`
+    /// has a budget of its own, so that a fault of one service takes no retries of others.
+    [[nodiscard]] bool may_retry(const call_facts& call, time_point now,
+                                 const std::string& service = {});
+
+    /// After a target itself refused an attempt as not run. That attempt has reached the
+    /// target, so another one draws on the budget of retries, whatever the call is.
+    [[nodiscard]] bool may_retry_refused(const call_facts& call, time_point now,
+                                         const std::string& service);
 
     /// Earns budget; called once for each call that was answered.
-    void answered(time_point now);
+    void answered(time_point now, const std::string& service = {});
 
 private:
+    [[nodiscard]] retry_budget& retries_of(const std::string& service);
+
     routing_options m_options;
     retry_budget m_resends;
-    retry_budget m_retries;
+    std::unordered_map<std::string, retry_budget> m_retries; ///< by service
 };
 
 } // namespace pomelohead::routing
--- a/pomelohead/settings/policy_knobs.cc
+++ b/pomelohead/settings/policy_knobs.cc
@@ -56,6 +56,7 @@
         on_off("retry_budget", r.m_retry_budget, "retries are a share of successes"),
         on_off("hedging", r.m_hedging, "slow idempotent short reads get a second attempt"),
         {"retry_share", r.m_retry_share, 0, 1, "retries per success"},
+        {"retry_cap", r.m_budget_cap, 1, 1000, "retries of one service saved up at most"},
         {"resend_share", r.m_resend_share, 0, 1,
          "resends of requests refused as not run, per success"},
         {"resend_window_ms", static_cast<double>(r.m_resend_window.count()), 0, 60000,
