--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -77,6 +77,9 @@
     std::function<void()> on_early_bytes;
     if (m_server.m_options.m_pipelining && !must_close()) {
         on_early_bytes = [this] { m_server.read_ahead(m_connection, m_number); };
+        if (m_connection.m_buffer.size() > 0) {
+            on_early_bytes(); // the next request came with this one
+        }
     }
     return std::make_unique<exchange_watch>(m_connection, m_number, std::move(on_gone),
                                             std::move(on_early_bytes));
