--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -305,7 +305,7 @@
     }
     start_attempt(std::move(*target));
     if (m_attempts.size() == 1) {
-        if (const auto delay = m_service.m_hedges.delay_for(m_target_set->m_name, m_call, now)) {
+        if (const auto delay = m_service.m_hedges.delay_for(m_route->m_name, m_call, now)) {
             m_hedge_at = now + *delay;
         }
     }
@@ -352,7 +352,7 @@
     const time_point now = m_service.m_timers.now();
     m_service.m_retries.answered(now, m_target_set->m_name);
     if (m_call.m_class == config::work_class::short_work) {
-        m_service.m_hedges.answered(m_target_set->m_name, clock_type::now() - m_arrived, now);
+        m_service.m_hedges.answered(m_route->m_name, clock_type::now() - m_arrived, now);
     }
     record({outcome::outcome::complete, cause::none}, status);
 }
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -66,6 +66,7 @@
     options.m_resend_window = milliseconds(knobs.whole<std::int64_t>("resend_window_ms"));
     options.m_slow_ratio = knobs.number("slow_ratio");
     options.m_hedge_share = knobs.number("hedge_share");
+    options.m_hedge_quantile = knobs.number("hedge_quantile");
     return options;
 }
 
--- a/pomelohead/settings/policy_knobs.cc
+++ b/pomelohead/settings/policy_knobs.cc
@@ -64,6 +64,8 @@
         {"slow_ratio", r.m_slow_ratio, 1.1, 100,
          "how many times slower than its peers a target counts as slow"},
         {"hedge_share", r.m_hedge_share, 0, 1, "hedges per success"},
+        {"hedge_quantile", r.m_hedge_quantile, 0.5, 0.999,
+         "share of a route's calls that are answered before one is hedged"},
     };
     std::ranges::sort(knobs, {}, &policy_knob::m_name);
     return knobs;
