Slots go to answers that can still meet their objective

Queues were bounded by the deadline alone, so in an overload each request waited until its answer was late.

Change: with objective_order a request waits only while it can still meet its objective (at least late_wait_ms, 50 ms), goes before those of its rank that cannot, and is refused at once where the queue ahead is longer; another owner or a later return then has a chance.

--- a/pomelohead/admission/options.h
+++ b/pomelohead/admission/options.h
@@ -16,6 +16,8 @@
     bool m_deadline_admission = true; ///< refuse what cannot finish in the time left
     bool m_bounded_wait = true;       ///< refuse short work that would wait past m_max_wait
     bool m_slow_start = true;         ///< begin with few slots
+    bool m_objective_order = false;   ///< what can meet its objective goes before what cannot
+    bool m_deep_first = false;        ///< depth in the call chain goes before urgency
 
     /// Slots that long work never takes.
     std::uint32_t m_min_reserve = 1;
@@ -29,6 +31,8 @@
     std::uint32_t m_long_queue_per_slot = 1;
     /// The longest that a short request waits for a slot.
     milliseconds m_max_wait{30};
+    /// With m_objective_order: the longest wait of a request that would be late anyway.
+    milliseconds m_late_wait{50};
     /// Share of a request's typical run time that must be left for it to start.
     double m_needed_share = 1.0;
     /// Share of the recent use that an account with waiting work gets whatever
--- a/pomelohead/admission/slot_queue.cc
+++ b/pomelohead/admission/slot_queue.cc
@@ -107,9 +107,19 @@
     return std::chrono::duration_cast<duration>(expected * m_options.m_needed_share);
 }
 
+bool slot_queue::can_be_on_time(const request_facts& facts) const
+{
+    return facts.m_objective != time_point{} && m_now + needed(facts) <= facts.m_objective;
+}
+
 time_point slot_queue::give_up_time(const request_facts& facts, time_point now) const
 {
     const time_point last_start = facts.m_deadline - needed(facts);
+    // A deep call holds up all levels above it, so it waits as long as it may.
+    if (m_options.m_objective_order && facts.m_depth == 0 && facts.m_objective != time_point{}) {
+        const time_point last_on_time = facts.m_objective - needed(facts);
+        return std::min(last_start, std::max(last_on_time, now + m_options.m_late_wait));
+    }
     if (!m_options.m_bounded_wait || facts.m_class == work_class::long_work) {
         return last_start;
     }
@@ -129,12 +139,21 @@
             return x_below;
         }
     }
+    if (m_options.m_deep_first && x.m_depth != y.m_depth) {
+        return x.m_depth > y.m_depth;
+    }
     if (m_options.m_urgency_order && x.m_urgency != y.m_urgency) {
         return x.m_urgency < y.m_urgency;
     }
     if (m_options.m_depth_order && x.m_depth != y.m_depth) {
         return x.m_depth > y.m_depth;
     }
+    if (m_options.m_objective_order) {
+        const bool x_on_time = can_be_on_time(x);
+        if (x_on_time != can_be_on_time(y)) {
+            return x_on_time;
+        }
+    }
     if (m_options.m_fair_share && x.m_account != y.m_account) {
         const double x_use = m_use.of(x.m_account, x.m_class);
         const double y_use = m_use.of(y.m_account, y.m_class);
--- a/pomelohead/admission/slot_queue.h
+++ b/pomelohead/admission/slot_queue.h
@@ -6,7 +6,9 @@
 // work, which may take all of them (long_work_limit.h). Queued short work leaves in
 // the order of urgency, depth in its call chain, its account's recent use and its
 // arrival; an account below its floor goes first whatever its urgency. What cannot
-// finish in the time left is neither started nor queued.
+// finish in the time left is neither started nor queued. Where requests have latency
+// objectives, one waits only as long as it can still meet its own, and goes before those
+// of its rank that cannot: in an overload slots go to answers that are still on time.
 //
 // A new owner begins with few slots, because its target may still run what an earlier
 // owner started; a target that refuses work sets the limit back to what it runs. From
@@ -104,6 +106,7 @@
     [[nodiscard]] std::vector<queued_request>::iterator next_to_start(time_point now);
     [[nodiscard]] bool is_shed(const request_facts& facts) const;
     [[nodiscard]] duration needed(const request_facts& facts) const;
+    [[nodiscard]] bool can_be_on_time(const request_facts& facts) const;
     [[nodiscard]] duration predicted_wait(const queued_request& entry) const;
     [[nodiscard]] time_point give_up_time(const request_facts& facts, time_point now) const;
     [[nodiscard]] std::uint32_t count_queued(config::work_class work) const;
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -66,6 +66,11 @@
         std::chrono::duration_cast<milliseconds>(m_request.m_deadline - clock_type::now());
     head.set(deadline_header,
              std::to_string(std::max<std::int64_t>(outcome::forwarded_deadline(left).count(), 1)));
+    if (m_request.m_objective != time_point{}) {
+        const auto on_time =
+            std::chrono::duration_cast<milliseconds>(m_request.m_objective - clock_type::now());
+        head.set(objective_header, std::to_string(std::max<std::int64_t>(on_time.count(), 0)));
+    }
     if (m_request.m_is_suspect()) {
         head.set(apart_header, "true");
     }
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -17,6 +17,7 @@
     http::header<true> m_head; ///< as owners get it, but for what each attempt adds
     bool m_streamed = false;   ///< the body goes on as it comes in, not only from m_body
     time_point m_deadline{};
+    time_point m_objective{};   ///< an answer after it is late; zero: no objective is stated
     std::string m_ticket_owner; ///< the address to go to; empty: the target's host
     config::work_class m_class = config::work_class::short_work;
     std::function<void(const outcome::entry_event&)> m_feed;
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -114,6 +114,9 @@
         return false;
     }
     m_request.m_deadline = m_arrived + std::min(*left, m_route->m_deadline);
+    if (m_route->m_objective > milliseconds::zero()) {
+        m_request.m_objective = m_arrived + m_route->m_objective;
+    }
     m_request.m_class = m_route->m_class;
     return true;
 }
--- a/pomelohead/forwarding/headers.cc
+++ b/pomelohead/forwarding/headers.cc
@@ -79,7 +79,7 @@
     for (const std::string_view name :
          {request_id_header, deadline_header, depth_header, ticket_header, outcome_header,
           reason_header, target_header, route_header, account_header, class_header,
-          urgency_header, version_header, attempt_header, apart_header, word_header,
+          urgency_header, version_header, objective_header, attempt_header, apart_header, word_header,
           retry_after_header, not_run_header}) {
         fields.erase(name);
     }
--- a/pomelohead/forwarding/headers.h
+++ b/pomelohead/forwarding/headers.h
@@ -34,6 +34,7 @@
 inline constexpr std::string_view class_header = "Pomelohead-Class";
 inline constexpr std::string_view urgency_header = "Pomelohead-Urgency";
 inline constexpr std::string_view version_header = "Pomelohead-Version";
+inline constexpr std::string_view objective_header = "Pomelohead-Objective-Ms"; ///< time left
 inline constexpr std::string_view attempt_header = "Pomelohead-Attempt";
 inline constexpr std::string_view apart_header = "Pomelohead-Apart"; ///< run alone, or not at all
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -103,6 +103,9 @@
     m_facts.m_depth =
         static_cast<std::uint32_t>(parse_number(head[depth_header], max_depth).value_or(0));
     m_facts.m_deadline = m_deadline;
+    if (const auto on_time = parse_number(head[objective_header], max_deadline.count())) {
+        m_facts.m_objective = m_arrived + milliseconds(*on_time);
+    }
     m_apart = head[apart_header] == "true";
     if (head.count(ticket_header) > 0) {
         m_ticket = outcome::parse_ticket(head[ticket_header], why);
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -45,6 +45,9 @@
     options.m_deadline_admission = knobs.on("deadline_admission");
     options.m_bounded_wait = knobs.on("bounded_wait");
     options.m_slow_start = knobs.on("owner_slow_start");
+    options.m_objective_order = knobs.on("objective_order");
+    options.m_deep_first = knobs.on("deep_first");
+    options.m_late_wait = milliseconds(knobs.whole<std::int64_t>("late_wait_ms"));
     options.m_queue_per_slot = knobs.whole<std::uint32_t>("queue_per_slot");
     options.m_max_wait = milliseconds(knobs.whole<std::int64_t>("max_wait_ms"));
     return options;
