--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -22,6 +22,9 @@
 
 constexpr std::size_t read_chunk_bytes = 4096;
 
+// Read at one go where a body does not state its length.
+constexpr std::size_t unknown_length_bytes = 8192;
+
 bool fail(reason& why, reason_code code, std::string text)
 {
     why = {code, std::move(text)};
@@ -259,7 +262,11 @@
             return body_state::failed;
         }
     }
-    piece.resize(max_bytes);
+    // The space is cleared and touched, so it is no larger than what can be read into it.
+    const auto left = m_parser->content_length_remaining();
+    const std::size_t space = std::min<std::size_t>(
+        max_bytes, left ? std::max<std::size_t>(*left, 1) : unknown_length_bytes);
+    piece.resize(space);
     auto& body = m_parser->get().body();
     body.data = piece.data();
     body.size = piece.size();
@@ -267,7 +274,7 @@
     const auto [error, size] = await_until(m_stream, deadline, [&](auto handler) {
         http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler));
     });
-    piece.resize(max_bytes - body.size);
+    piece.resize(space - body.size);
     body.data = nullptr;
     body.size = 0;
     if (error && error != http::error::need_buffer) {
