Idle connections have no fiber

Change: an idle connection waits for its next byte by a handler; a fiber is taken when it comes. Idle limits are checked once a second, by the limit in force at that time.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <sys/socket.h>
+
 namespace pomelohead::forwarding {
 namespace {
 
@@ -15,10 +17,20 @@
 constexpr std::size_t linger_bytes = 16UL * 1024UL * 1024UL;
 constexpr int accept_backlog = 1024;
 
+// Idle limits are of seconds, and a connection may stand a little longer.
+constexpr duration idle_check_period = std::chrono::seconds(1);
+
 // Requests of one connection that are under way together. Beyond it the caller waits,
 // as it would without pipelining.
 constexpr std::uint64_t max_pipelined = 16;
 
+// Whether the other side has sent something that has not been read.
+bool has_bytes(detail::server_connection& c)
+{
+    char byte = 0;
+    return ::recv(c.m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool is_safe(http::verb method)
 {
     return method == http::verb::get || method == http::verb::head;
@@ -179,7 +191,7 @@
 http_server::http_server(boost::asio::io_context& io, endpoint where, server_options options,
                          handler on_request)
     : m_io(io), m_where(std::move(where)), m_options(options), m_handler(std::move(on_request)),
-      m_acceptor(io)
+      m_acceptor(io), m_idle_check(io)
 {
 }
 
@@ -211,6 +223,7 @@
         return false;
     }
     m_fibers.spawn([this] { accept_loop(); });
+    close_idle();
     return true;
 }
 
@@ -233,10 +246,8 @@
         }
         error_code ignored;
         socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        m_open.emplace_back(std::move(socket));
-        const auto at = std::prev(m_open.end());
-        at->m_fibers = 1;
-        m_fibers.spawn([this, at] { serve(at, at->m_begun = 1); });
+        m_open.push_back(std::make_shared<connection>(std::move(socket)));
+        park(std::prev(m_open.end()));
     }
 }
 
@@ -246,20 +257,65 @@
     if (c.m_begun != number || c.m_ended || number - c.m_finished > max_pipelined) {
         return;
     }
-    const auto at = std::ranges::find_if(m_open, [&c](const connection& o) { return &o == &c; });
+    const auto at = std::ranges::find_if(m_open, [&c](const auto& o) { return o.get() == &c; });
     ++c.m_fibers;
     m_fibers.spawn([this, at, next = ++c.m_begun] { serve(at, next); });
 }
 
+// Waits for the next request without a fiber.
+void http_server::park(connection_list::iterator at)
+{
+    connection& c = **at;
+    c.m_parked = true;
+    c.m_idle_since = clock_type::now();
+    c.m_buffer = {};
+    c.m_stream.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [this, at, alive = std::weak_ptr<connection>(*at)](error_code error) {
+            if (alive.expired()) {
+                return; // closed while idle, and perhaps the server with it
+            }
+            connection& woken = **at;
+            woken.m_parked = false;
+            if (error) {
+                m_open.erase(at);
+                return;
+            }
+            ++woken.m_fibers;
+            m_fibers.spawn([this, at, next = ++woken.m_begun] { serve(at, next); });
+        });
+}
+
+// Closes connections that have been idle beyond the limit, now and then.
+void http_server::close_idle()
+{
+    const time_point oldest = clock_type::now() - m_options.m_idle_limit;
+    std::erase_if(m_open, [oldest](const auto& c) {
+        return c->m_parked && c->m_idle_since < oldest && !has_bytes(*c);
+    });
+    m_idle_check.expires_after(idle_check_period);
+    m_idle_check.async_wait([this](error_code error) {
+        if (!error) {
+            close_idle();
+        }
+    });
+}
+
 void http_server::serve(connection_list::iterator at, std::uint64_t number)
 {
+    const std::shared_ptr<connection> c = *at;
     while (number != 0) {
-        number = serve_one(*at, number);
+        number = serve_one(*c, number);
     }
-    if (--at->m_fibers == 0) {
-        linger(*at);
-        m_open.erase(at);
+    if (--c->m_fibers > 0) {
+        return;
+    }
+    if (!c->m_ended) {
+        park(at);
+        return;
     }
+    linger(*c);
+    m_open.erase(at);
 }
 
 // Closing with unread bytes would reset the connection, and the other side might
@@ -328,7 +384,8 @@
         return 0;
     }
     c.m_turn.notify();
-    return is_read_ahead ? 0 : ++c.m_begun;
+    const bool is_next_here = c.m_buffer.size() > 0;
+    return !is_read_ahead && is_next_here ? ++c.m_begun : 0;
 }
 
 void http_server::refuse(connection& c, const reason& why)
@@ -365,19 +422,33 @@
     m_closing = true;
     error_code ignored;
     m_acceptor.close(ignored);
-    for (connection& c : m_open) {
-        // A request whose first bytes are here is still served.
-        const bool is_idle = c.m_reading && c.m_begun == c.m_finished + 1;
-        if (is_idle && c.m_buffer.size() == 0) {
-            c.m_stream.cancel();
+    m_idle_check.cancel();
+    // A request whose first bytes are here is still served.
+    std::erase_if(m_open, [](const auto& c) { return c->m_parked && !has_bytes(*c); });
+    for (const auto& c : m_open) {
+        const bool is_idle = c->m_reading && c->m_begun == c->m_finished + 1;
+        if (is_idle && c->m_buffer.size() == 0) {
+            c->m_stream.cancel();
         }
     }
 }
 
+void http_server::wait()
+{
+    constexpr duration step = std::chrono::milliseconds(1);
+    m_fibers.wait();
+    // What was not closed while idle has bytes, and a fiber is about to read them.
+    while (!m_open.empty()) {
+        sleep_for(step);
+        m_fibers.wait();
+    }
+}
+
 void http_server::abort()
 {
-    for (connection& c : m_open) {
-        c.m_stream.close();
+    std::erase_if(m_open, [](const auto& c) { return c->m_parked; });
+    for (const auto& c : m_open) {
+        c->m_stream.close();
     }
 }
 
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -1,5 +1,8 @@
 // A listener whose connections serve their exchanges in order.
 //
+// A connection has a fiber, and its stack, only while a request is under way on it: callers
+// leave many connections idle.
+//
 // With m_pipelining a request that arrives while an earlier one of its connection is
 // under way is begun at once; answers still go out in the order of the requests.
 //
@@ -18,6 +21,7 @@
 #include "pomelohead/runtime/fiber.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <list>
@@ -55,6 +59,8 @@
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    bool m_parked = false;        ///< idle, without a fiber
+    time_point m_idle_since{};
     bool m_reading = false;       ///< waits for a request's head
     bool m_ended = false;         ///< no further answer can be sent
     std::uint64_t m_begun = 0;    ///< requests that a fiber reads or has read
@@ -160,22 +166,24 @@
     void close_listener();
 
     /// Waits until no connection is left. close_listener() must have been called.
-    void wait() { m_fibers.wait(); }
+    void wait();
 
     /// Ends all connections at once, exchanges included.
     void abort();
 
     [[nodiscard]] std::size_t connections() const { return m_open.size(); }
 
-    /// Replaces the limits, for connections that begin to wait from now on.
+    /// Replaces the limits; the one for idle connections holds for all at once.
     void set_limits(duration idle, std::size_t max_head_bytes, duration head_time);
 
 private:
     friend class server_exchange;
     using connection = detail::server_connection;
-    using connection_list = std::list<connection>;
+    using connection_list = std::list<std::shared_ptr<connection>>;
 
     void accept_loop();
+    void park(connection_list::iterator at);
+    void close_idle();
     void serve(connection_list::iterator at, std::uint64_t number);
     void read_ahead(connection& c, std::uint64_t number);
     std::uint64_t serve_one(connection& c, std::uint64_t number);
@@ -192,6 +200,7 @@
     connection_list m_open;
     bool m_closing = false;
     bool m_listener_closed = false;
+    boost::asio::steady_timer m_idle_check;
     fiber_group m_fibers;
 };
 
