--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -21,8 +21,6 @@
 // Servers keep a connection longer than this between exchanges.
 constexpr duration recent_use = std::chrono::seconds(1);
 
-constexpr duration connect_limit = std::chrono::milliseconds(1000);
-
 // A request that is written as the other side closes may have been read or not; the
 // margin covers the way there and a busy target.
 constexpr duration close_margin = std::chrono::milliseconds(500);
@@ -71,7 +69,7 @@
                                            time_point deadline, reason& why)
 {
     auto c = std::make_unique<client_connection>(boost::asio::ip::tcp::socket(io));
-    c->m_stream.expires_at(std::min(deadline, clock_type::now() + connect_limit));
+    c->m_stream.expires_at(std::min(deadline, clock_type::now() + default_connect_limit));
     const auto at = to_asio(where);
     const auto [error] =
         await<error_code>([&](auto handler) { c->m_stream.async_connect(at, std::move(handler)); });
@@ -101,7 +99,7 @@
             return c;
         }
     }
-    return connect(m_io, m_where, deadline, why);
+    return connect(m_io, m_where, std::min(deadline, clock_type::now() + m_connect_limit), why);
 }
 
 bool connection_pool::has_broken() const
--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -36,11 +36,16 @@
 [[nodiscard]] std::unique_ptr<client_connection>
 connect(boost::asio::io_context& io, const endpoint& where, time_point deadline, reason& why);
 
+/// Covers one lost opening packet on the way to another region.
+inline constexpr duration default_connect_limit = std::chrono::milliseconds(1000);
+
 /// The connections to one endpoint.
 class connection_pool {
 public:
-    connection_pool(boost::asio::io_context& io, endpoint where, std::size_t max_idle)
-        : m_io(io), m_where(std::move(where)), m_max_idle(max_idle)
+    /// Opening a connection takes at most `connect_limit`.
+    connection_pool(boost::asio::io_context& io, endpoint where, std::size_t max_idle,
+                    duration connect_limit = default_connect_limit)
+        : m_io(io), m_where(std::move(where)), m_max_idle(max_idle), m_connect_limit(connect_limit)
     {
     }
 
@@ -63,6 +68,7 @@
     boost::asio::io_context& m_io;
     endpoint m_where;
     std::size_t m_max_idle;
+    duration m_connect_limit;
     std::deque<std::unique_ptr<client_connection>> m_idle;
 };
 
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t max_idle_per_owner = 64;
+// Twice a round trip to another region (35 ms each way), so that a host that is cut off
+// leaves a call time to go elsewhere.
+constexpr duration owner_connect_limit = std::chrono::milliseconds(150);
+
 constexpr duration ticket_limit = std::chrono::seconds(2);
 constexpr std::string_view ticket_path = "/.pomelohead/ticket";
 
@@ -21,7 +25,9 @@
       m_id_prefix(m_random()),
       m_selector(m_options.m_routing, m_options.m_failure_domain, m_options.m_region),
       m_retries(m_options.m_routing), m_hedges(m_options.m_routing),
-      m_reachable([this](const config::target& t) { return m_hooks.m_is_alive(t.m_host); }),
+      m_reachable([this](const config::target& t) {
+          return m_hooks.m_is_alive(t.m_host) && !m_lost_hosts.is_lost(t.m_host, m_timers.now());
+      }),
       m_server(io, m_options.m_listen, {.m_head = {}, .m_pipelining = m_options.m_pipelining},
                [this](server_exchange& e) { serve(e); })
 {
@@ -90,7 +96,14 @@
         why = {reason_code::unreachable, "connections to " + address + " are blocked"};
         return nullptr;
     }
-    return pool(address).take(deadline, why);
+    auto connection = pool(address).take(deadline, why);
+    if (connection) {
+        m_lost_hosts.reached(address);
+    }
+    else if (clock_type::now() < deadline) {
+        m_lost_hosts.failed(address, m_timers.now());
+    }
+    return connection;
 }
 
 connection_pool& entry_service::pool(const std::string& address)
@@ -100,7 +113,8 @@
         return it->second;
     }
     const endpoint where{address, m_options.m_owner_port};
-    return m_pools.try_emplace(address, m_io, where, max_idle_per_owner).first->second;
+    return m_pools.try_emplace(address, m_io, where, max_idle_per_owner, owner_connect_limit)
+        .first->second;
 }
 
 std::string entry_service::make_request_id()
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -15,6 +15,7 @@
 #include "pomelohead/forwarding/dialect.h"
 #include "pomelohead/forwarding/kept_body.h"
 #include "pomelohead/routing/hedge_policy.h"
+#include "pomelohead/routing/lost_hosts.h"
 #include "pomelohead/routing/owner_selector.h"
 #include "pomelohead/routing/retry_policy.h"
 #include "pomelohead/routing/share_rotation.h"
@@ -99,6 +100,7 @@
     routing::retry_policy m_retries;
     routing::hedge_policy m_hedges;
     routing::share_rotation m_shares;
+    routing::lost_hosts m_lost_hosts;
     routing::reachable_fn m_reachable;
     std::set<std::string> m_blocked;
     std::map<std::string, connection_pool> m_pools; ///< by the owner's address
