Settings are read again on SIGHUP and when the file changes without a signal

The store's address and this host's service are taken over while the node runs; other changes are reported and wait for the next start; a faulty file changes nothing and each fault is named.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -48,42 +48,6 @@
     }
 }
 
-void watch_reloads(boost::asio::signal_set& reloads)
-{
-    reloads.async_wait([&reloads](boost::system::error_code error, int) {
-        if (!error) {
-            log_event(log_level::info, "reload_asked");
-            watch_reloads(reloads);
-        }
-    });
-}
-
-int run_node(settings::node_settings settings, node::adapter parts)
-{
-    init_logging(level_of(settings.m_log_level), settings.m_node);
-    boost::asio::io_context& io = install_fiber_scheduler();
-    node::node n(std::move(settings), io, std::move(parts));
-    reason why;
-    if (!n.start(why)) {
-        std::cerr << "pomelohead node: " << why.m_text << '\n';
-        // Half-started parts have fibers that only a whole start could stop in order.
-        std::_Exit(exit_found);
-    }
-    boost::asio::signal_set stops(io, SIGTERM, SIGINT);
-    stops.async_wait([&](boost::system::error_code error, int signal) {
-        if (!error) {
-            log_event(log_level::info, "stop_asked", {{"signal", signal}});
-            n.stop();
-        }
-    });
-    boost::asio::signal_set reloads(io, SIGHUP);
-    watch_reloads(reloads);
-    n.wait();
-    stops.cancel();
-    reloads.cancel();
-    return exit_good;
-}
-
 std::optional<settings::node_settings> read_settings(const node_arguments& arguments,
                                                      const std::string& path, reason& why)
 {
@@ -110,6 +74,88 @@
     return faults.empty() ? settings : std::nullopt;
 }
 
+// Reads the settings file again at each SIGHUP, and every few seconds, since it may change
+// without a signal. A faulty file changes nothing.
+class settings_watch {
+public:
+    settings_watch(boost::asio::io_context& io, node::node& n, const node_arguments& arguments,
+                   std::string path)
+        : m_node(n), m_arguments(arguments), m_path(std::move(path)), m_signals(io, SIGHUP),
+          m_timer(n.timers().every(reload_period, [this] { reload(); }))
+    {
+        wait_for_signal();
+    }
+
+    void stop()
+    {
+        m_signals.cancel();
+        m_timer.cancel();
+    }
+
+private:
+    static constexpr duration reload_period = std::chrono::seconds(2);
+
+    void wait_for_signal()
+    {
+        m_signals.async_wait([this](boost::system::error_code error, int) {
+            if (!error) {
+                log_event(log_level::info, "reload_asked");
+                reload();
+                wait_for_signal();
+            }
+        });
+    }
+
+    void reload()
+    {
+        reason why;
+        const auto text = read_file(m_path, max_settings_bytes, why);
+        if (!text || *text == m_last_text) {
+            return;
+        }
+        m_last_text = *text;
+        if (const auto changed = read_settings(m_arguments, m_path, why)) {
+            m_node.reload(*changed);
+        }
+        else {
+            log_event(log_level::warning, "settings_refused", {{"why", why.m_text}});
+        }
+    }
+
+    node::node& m_node;
+    const node_arguments& m_arguments;
+    std::string m_path;
+    std::string m_last_text;
+    boost::asio::signal_set m_signals;
+    timer_subscription m_timer;
+};
+
+int run_node(settings::node_settings settings, node::adapter parts,
+             const node_arguments& arguments, const std::string& path)
+{
+    init_logging(level_of(settings.m_log_level), settings.m_node);
+    boost::asio::io_context& io = install_fiber_scheduler();
+    node::node n(std::move(settings), io, std::move(parts));
+    reason why;
+    if (!n.start(why)) {
+        std::cerr << "pomelohead node: " << why.m_text << '\n';
+        // Half-started parts have fibers that only a whole start could stop in order.
+        std::_Exit(exit_found);
+    }
+    boost::asio::signal_set stops(io, SIGTERM, SIGINT);
+    stops.async_wait([&](boost::system::error_code error, int signal) {
+        if (!error) {
+            log_event(log_level::info, "stop_asked", {{"signal", signal}});
+            n.stop();
+        }
+    });
+    settings_watch reloads(io, n, arguments, path);
+    n.wait();
+    stops.cancel();
+    reloads.stop();
+    return exit_good;
+}
+
 int run(const node_arguments& arguments)
 {
     if (arguments.m_show_schema) {
@@ -132,9 +178,9 @@
         std::cout << path << ": no faults\n";
         return exit_good;
     }
-    const int code = run_node(std::move(*settings), arguments.m_on_platform
-                                                        ? platform::make_adapter()
-                                                        : node::adapter{});
+    const int code = run_node(std::move(*settings),
+                              arguments.m_on_platform ? platform::make_adapter() : node::adapter{},
+                              arguments, path);
     // Everything of the node has ended. At a normal exit log4cplus joins the threads of its
     // pool, which does not return on machines that run one thread at a time.
     std::cout.flush();
--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -24,11 +24,15 @@
     source::follower_hooks hooks;
     hooks.m_list = [this](const source::list_request& request,
                           std::function<void(store_answer)> done) {
-        m_calls.spawn([this, request, done = std::move(done)] { done(m_store->list(request)); });
+        m_calls.spawn([store = m_store, request, done = std::move(done)] {
+            done(store->list(request));
+        });
     };
     hooks.m_watch = [this](const source::watch_request& request,
                            std::function<void(store_answer)> done) {
-        m_calls.spawn([this, request, done = std::move(done)] { done(m_store->watch(request)); });
+        m_calls.spawn([store = m_store, request, done = std::move(done)] {
+            done(store->watch(request));
+        });
     };
     hooks.m_put = [this](const source::key_change& change) { m_directory.put(change); };
     hooks.m_removed = [this](const std::string& key) { m_directory.remove(key); };
@@ -52,6 +56,13 @@
     m_follower.restart();
 }
 
+void catalog::use_store(std::unique_ptr<source::key_value_store> store)
+{
+    m_store->cancel();
+    m_store = std::move(store);
+    m_follower.restart();
+}
+
 bool catalog::is_confirmed() const
 {
     return !m_restarted || (status().m_last_contact && *status().m_last_contact > *m_restarted);
--- a/pomelohead/discovery/catalog.h
+++ b/pomelohead/discovery/catalog.h
@@ -30,6 +30,9 @@
     /// Reads everything again, as after a freeze.
     void restart();
 
+    /// Follows another store, or the same one at another address.
+    void use_store(std::unique_ptr<source::key_value_store> store);
+
     /// Whether the store has confirmed since restart() what this node believes.
     [[nodiscard]] bool is_confirmed() const;
 
@@ -44,7 +47,8 @@
     [[nodiscard]] source::follower_hooks make_hooks();
 
     timer_service& m_timers;
-    std::unique_ptr<source::key_value_store> m_store;
+    // Stores that were replaced end their calls by themselves, and live until then.
+    std::shared_ptr<source::key_value_store> m_store;
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
     directory m_directory;
     source::store_follower m_follower;
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -63,6 +63,9 @@
     /// Follows a new configuration.
     void apply(const config::snapshot& config);
 
+    /// Changes the service that runs on this host.
+    void set_service(std::string name) { m_options.m_service = std::move(name); }
+
     /// Opens no more connections to owners at these addresses; for tests of cuts.
     void set_blocked_owners(std::set<std::string> addresses);
 
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -32,7 +32,7 @@
 } // namespace
 
 node::node(settings::node_settings settings, boost::asio::io_context& io, adapter parts)
-    : m_settings(std::move(settings)), m_timers(io), m_incarnation(make_incarnation()),
+    : m_io(io), m_settings(std::move(settings)), m_open_store(parts.m_open_store), m_timers(io), m_incarnation(make_incarnation()),
       m_started(m_timers.now()), m_freeze(freeze_limit, m_started),
       m_catalog(m_settings.m_store
                     ? std::make_unique<discovery::catalog>(
@@ -121,6 +121,29 @@
     m_stats.add("versions_applied_total");
 }
 
+void node::reload(const settings::node_settings& changed)
+{
+    if (changed == m_settings) {
+        return;
+    }
+    const bool is_store_changed = m_catalog && changed.m_store && changed.m_store != m_settings.m_store;
+    const bool is_service_changed = changed.m_service != m_settings.m_service;
+    settings::node_settings taken = m_settings;
+    if (is_store_changed) {
+        taken.m_store = changed.m_store;
+        m_catalog->use_store(m_open_store(m_io, *changed.m_store));
+    }
+    if (is_service_changed) {
+        taken.m_service = changed.m_service;
+        m_entry.set_service(changed.m_service);
+    }
+    m_settings = std::move(taken);
+    log_event(log_level::info, "settings_reloaded",
+              {{"store_changed", is_store_changed},
+               {"service_changed", is_service_changed},
+               {"others_wait_for_restart", changed != m_settings}});
+}
+
 config::snapshot_ptr node::current() const
 {
     return m_catalog ? m_catalog->current() : m_distributor.current();
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -36,6 +36,10 @@
     /// Begins a graceful stop. Idempotent.
     void stop() { m_shutdown.begin(); }
 
+    /// Takes over what may change while a node runs: the store's address and this
+    /// host's service. Other changes are reported and wait for the next start.
+    void reload(const settings::node_settings& changed);
+
     /// Gives the target beside this node no new work until resume(), or until the
     /// process ends. Requests that run go on.
     void drain() { m_drained_by_operator = true; }
@@ -75,7 +79,9 @@
     [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
 
+    boost::asio::io_context& m_io;
     settings::node_settings m_settings;
+    adapter::open_store_fn m_open_store;
     asio_timer_service m_timers;
     metrics m_stats;
     std::uint64_t m_incarnation;
