--- a/pomelohead/admission/objective_test.cc
+++ b/pomelohead/admission/objective_test.cc
@@ -96,8 +96,7 @@
             BOOST_TEST(with.m_on_time >= 0.9 * capacity);
             BOOST_TEST(with.m_on_time > 2 * without.m_on_time);
             // Nothing is lost by it: as many are answered in all.
-            BOOST_TEST(with.m_on_time + with.m_late >=
-                       0.97 * (without.m_on_time + without.m_late));
+            BOOST_TEST(with.m_on_time + with.m_late >= 0.97 * (without.m_on_time + without.m_late));
             // A refusal comes while another owner can still be tried in time.
             BOOST_TEST((with.m_longest_hold <= objective));
         }
--- a/pomelohead/admission/request_facts.h
+++ b/pomelohead/admission/request_facts.h
@@ -25,8 +25,8 @@
     std::uint32_t m_depth = 0; ///< levels above it in its call chain
     time_point m_deadline;
     time_point m_objective{}; ///< an answer after it is late, but worth having; zero: none
-    duration m_expected{}; ///< run time on the target; zero: the owner estimates it
-    std::string m_route;   ///< key for that estimate; empty: the class's estimate
+    duration m_expected{};    ///< run time on the target; zero: the owner estimates it
+    std::string m_route;      ///< key for that estimate; empty: the class's estimate
 
     bool operator==(const request_facts&) const = default;
 };
--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -130,12 +130,12 @@
     timer_subscription m_timer;
 };
 
-int run_node(settings::node_settings settings, node::adapter parts,
+int run_node(settings::node_settings settings, const node::adapter& parts,
              const node_arguments& arguments, const std::string& path)
 {
     init_logging(level_of(settings.m_log_level), settings.m_node);
     boost::asio::io_context& io = install_fiber_scheduler();
-    node::node n(std::move(settings), io, std::move(parts));
+    node::node n(std::move(settings), io, parts);
     reason why;
     if (!n.start(why)) {
         std::cerr << "pomelohead node: " << why.m_text << '\n';
--- a/pomelohead/config/snapshot.h
+++ b/pomelohead/config/snapshot.h
@@ -52,8 +52,8 @@
     work_class m_class = work_class::short_work;
     bool m_idempotent = false; ///< whether running it twice is the same as once
     urgency m_urgency = urgency::normal;
-    milliseconds m_deadline{};  ///< from arrival at the first node to the whole answer
-    milliseconds m_objective{}; ///< latency objective; zero: none is stated
+    milliseconds m_deadline{};       ///< from arrival at the first node to the whole answer
+    milliseconds m_objective{};      ///< latency objective; zero: none is stated
     std::uint32_t m_max_targets = 0; ///< targets that one request may reach; 0: the node's setting
     std::vector<service_share> m_shares{}; ///< empty: all requests go to m_service
 
--- a/pomelohead/config/validate.cc
+++ b/pomelohead/config/validate.cc
@@ -91,7 +91,8 @@
         for (const service_share& share : item.m_shares) {
             sum += share.m_weight;
             if (m_config.find_service(share.m_service) == nullptr) {
-                add(subject, "shares", "names service '" + share.m_service + "', which is not here");
+                add(subject, "shares",
+                    "names service '" + share.m_service + "', which is not here");
             }
         }
         if (sum == 0) {
--- a/pomelohead/config/validate.h
+++ b/pomelohead/config/validate.h
@@ -24,7 +24,7 @@
 };
 
 /// All faults of `config`, in the order of its parts; empty for a valid one.
-[[nodiscard]] std::vector<fault>
-validate(const snapshot& config, target_source targets = target_source::configuration);
+[[nodiscard]] std::vector<fault> validate(const snapshot& config,
+                                          target_source targets = target_source::configuration);
 
 } // namespace pomelohead::config
--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -24,15 +24,13 @@
     source::follower_hooks hooks;
     hooks.m_list = [this](const source::list_request& request,
                           std::function<void(store_answer)> done) {
-        m_calls.spawn([store = m_store, request, done = std::move(done)] {
-            done(store->list(request));
-        });
+        m_calls.spawn(
+            [store = m_store, request, done = std::move(done)] { done(store->list(request)); });
     };
     hooks.m_watch = [this](const source::watch_request& request,
                            std::function<void(store_answer)> done) {
-        m_calls.spawn([store = m_store, request, done = std::move(done)] {
-            done(store->watch(request));
-        });
+        m_calls.spawn(
+            [store = m_store, request, done = std::move(done)] { done(store->watch(request)); });
     };
     hooks.m_put = [this](const source::key_change& change) { m_directory.put(change); };
     hooks.m_removed = [this](const std::string& key) { m_directory.remove(key); };
--- a/pomelohead/discovery/directory.cc
+++ b/pomelohead/discovery/directory.cc
@@ -36,9 +36,9 @@
     if (m_configuration && offered.m_version <= m_configuration->m_version) {
         if (offered != *m_configuration) {
             const bool older = offered.m_version < m_configuration->m_version;
-            refuse(subject, {older ? reason_code::stale : reason_code::conflict,
-                             "version " + std::to_string(m_configuration->m_version) +
-                                 " is in force"});
+            refuse(subject,
+                   {older ? reason_code::stale : reason_code::conflict,
+                    "version " + std::to_string(m_configuration->m_version) + " is in force"});
         }
         return;
     }
@@ -46,9 +46,9 @@
         config::validate(offered, config::target_source::discovery);
     if (!faults.empty()) {
         const config::fault& first = faults.front();
-        refuse(subject, {reason_code::invalid, first.m_subject + ", " + first.m_field + ": " +
-                                                   first.m_text + " (" +
-                                                   std::to_string(faults.size()) + " faults)"});
+        refuse(subject,
+               {reason_code::invalid, first.m_subject + ", " + first.m_field + ": " + first.m_text +
+                                          " (" + std::to_string(faults.size()) + " faults)"});
         return;
     }
     log_event(log_level::info, "configuration_accepted",
@@ -66,8 +66,7 @@
     if (it != m_instances.end()) {
         const instance& held = it->second;
         if (offered.m_started_ms < held.m_started_ms ||
-            (offered.m_started_ms == held.m_started_ms &&
-             offered.m_sequence < held.m_sequence)) {
+            (offered.m_started_ms == held.m_started_ms && offered.m_sequence < held.m_sequence)) {
             refuse(key, {reason_code::stale, "a later registration is held"});
             return;
         }
@@ -133,8 +132,8 @@
         if (is_displaced(item)) {
             continue;
         }
-        const auto owner =
-            std::ranges::lower_bound(joined.m_services, item.m_service, {}, &config::service::m_name);
+        const auto owner = std::ranges::lower_bound(joined.m_services, item.m_service, {},
+                                                    &config::service::m_name);
         if (owner == joined.m_services.end() || owner->m_name != item.m_service) {
             continue;
         }
--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -36,16 +36,15 @@
 void notice_silence(int socket)
 {
     const int on = 1;
-    const bool good =
-        ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on) == 0 &&
-        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_idle_s,
-                     sizeof keepalive_idle_s) == 0 &&
-        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s,
-                     sizeof keepalive_interval_s) == 0 &&
-        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes,
-                     sizeof keepalive_probes) == 0 &&
-        ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-                     sizeof user_timeout_ms) == 0;
+    const bool good = ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on) == 0 &&
+                      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_idle_s,
+                                   sizeof keepalive_idle_s) == 0 &&
+                      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s,
+                                   sizeof keepalive_interval_s) == 0 &&
+                      ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes,
+                                   sizeof keepalive_probes) == 0 &&
+                      ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+                                   sizeof user_timeout_ms) == 0;
     if (!good) {
         log_event(log_level::warning, "socket_option_refused",
                   {{"why", std::generic_category().message(errno)}});
@@ -93,8 +92,7 @@
     while (!m_idle.empty()) {
         std::unique_ptr<client_connection> c = std::move(m_idle.back());
         m_idle.pop_back();
-        const bool is_fresh =
-            c->m_idle_since >= oldest && clock_type::now() < c->m_usable_until;
+        const bool is_fresh = c->m_idle_since >= oldest && clock_type::now() < c->m_usable_until;
         if (is_fresh && !is_stale(*c)) {
             return c;
         }
@@ -127,8 +125,8 @@
                                 std::optional<duration> idle_limit)
 {
     c->m_idle_since = clock_type::now();
-    c->m_usable_until = idle_limit ? c->m_idle_since + *idle_limit - close_margin
-                                   : time_point::max();
+    c->m_usable_until =
+        idle_limit ? c->m_idle_since + *idle_limit - close_margin : time_point::max();
     m_idle.push_back(std::move(c));
     if (m_idle.size() > m_max_idle) {
         m_idle.pop_front();
--- a/pomelohead/forwarding/connection_watch.h
+++ b/pomelohead/forwarding/connection_watch.h
@@ -15,7 +15,8 @@
 
 namespace pomelohead::forwarding {
 
-/// Calls one of its hooks once when the connection ends or bytes arrive early; destroying it ends the watch.
+/// Calls one of its hooks once when the connection ends or bytes arrive early; destroying it ends
+/// the watch.
 class connection_watch {
 public:
     /// The hooks are called from the event loop and must not wait.
--- a/pomelohead/forwarding/dialect.cc
+++ b/pomelohead/forwarding/dialect.cc
@@ -9,8 +9,7 @@
 
 target_answer judge_answer(const http::header<false>& head)
 {
-    const bool declined =
-        head.result_int() == status_unavailable && head[not_run_header] == "true";
+    const bool declined = head.result_int() == status_unavailable && head[not_run_header] == "true";
     return declined ? target_answer::declined : target_answer::whole;
 }
 
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -53,8 +53,7 @@
                                          .m_attempts = m_service.m_options.m_attempts,
                                          .m_max_targets = m_route->m_max_targets});
     if (!m_request.m_streamed) {
-        m_watch =
-            m_exchange.watch([this] { feed({.m_kind = entry_event_kind::caller_left}); });
+        m_watch = m_exchange.watch([this] { feed({.m_kind = entry_event_kind::caller_left}); });
     }
     choose_owner(false);
     work();
@@ -124,10 +123,10 @@
 bool entry_exchange::read_body()
 {
     request_reader& request = m_exchange.request();
-    const std::uint64_t most = std::min(m_config->m_limits.m_max_body_bytes,
-                                        m_route->m_class == config::work_class::long_work
-                                            ? max_long_body_bytes
-                                            : max_short_body_bytes);
+    const std::uint64_t most =
+        std::min(m_config->m_limits.m_max_body_bytes,
+                 m_route->m_class == config::work_class::long_work ? max_long_body_bytes
+                                                                   : max_short_body_bytes);
     if (request.content_length().value_or(0) > most) {
         refuse(cause::body_too_large);
         return false;
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -58,7 +58,7 @@
     attempt_request m_request;
     time_point m_arrived{};
     milliseconds m_retry_hint{}; ///< the earliest return that a refusing owner advised
-    std::string m_detail; ///< a refusal's explanation for the log
+    std::string m_detail;        ///< a refusal's explanation for the log
 
     outcome::entry_state m_state;
     std::deque<outcome::entry_action> m_todo;
--- a/pomelohead/forwarding/headers.cc
+++ b/pomelohead/forwarding/headers.cc
@@ -56,9 +56,10 @@
     return value;
 }
 
-std::optional<std::chrono::milliseconds>
-deadline_of(const http::fields& fields, std::string_view name, std::chrono::milliseconds otherwise,
-            reason& why)
+std::optional<std::chrono::milliseconds> deadline_of(const http::fields& fields,
+                                                     std::string_view name,
+                                                     std::chrono::milliseconds otherwise,
+                                                     reason& why)
 {
     const auto it = fields.find(name);
     if (it == fields.end()) {
@@ -66,8 +67,7 @@
     }
     const auto value = parse_number(it->value(), static_cast<std::uint64_t>(max_deadline.count()));
     if (!value || *value == 0) {
-        why = {reason_code::malformed, std::string(name) +
-                                           " must be a whole number from 1 to " +
+        why = {reason_code::malformed, std::string(name) + " must be a whole number from 1 to " +
                                            std::to_string(max_deadline.count())};
         return std::nullopt;
     }
@@ -78,8 +78,8 @@
 {
     for (const std::string_view name :
          {request_id_header, deadline_header, depth_header, ticket_header, outcome_header,
-          reason_header, target_header, route_header, account_header, class_header,
-          urgency_header, version_header, objective_header, attempt_header, apart_header, word_header,
+          reason_header, target_header, route_header, account_header, class_header, urgency_header,
+          version_header, objective_header, attempt_header, apart_header, word_header,
           retry_after_header, not_run_header}) {
         fields.erase(name);
     }
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -74,7 +74,8 @@
 exchange_watch::exchange_watch(detail::server_connection& c, std::uint64_t number,
                                std::function<void()> on_gone, std::function<void()> on_early_bytes)
     : m_connection(c), m_number(number),
-      m_watch(c.m_stream, [&c] { detail::end_connection(c); }, std::move(on_early_bytes))
+      m_watch(
+          c.m_stream, [&c] { detail::end_connection(c); }, std::move(on_early_bytes))
 {
     c.m_on_gone[number] = std::move(on_gone);
 }
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -59,7 +59,7 @@
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
-    bool m_parked = false;        ///< idle, without a fiber
+    bool m_parked = false; ///< idle, without a fiber
     time_point m_idle_since{};
     bool m_reading = false;       ///< waits for a request's head
     bool m_ended = false;         ///< no further answer can be sent
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -422,8 +422,8 @@
     m_body_sent = false;
     m_body_sender.spawn([this, &writer] {
         reason why;
-        m_body_sent = writer.write_body(m_body.bytes(), m_deadline, why) &&
-                      writer.finish(m_deadline, why);
+        m_body_sent =
+            writer.write_body(m_body.bytes(), m_deadline, why) && writer.finish(m_deadline, why);
     });
     read_answer();
     if (m_connection && !m_body_sent) {
@@ -565,8 +565,8 @@
 void owner_exchange::keep_connection()
 {
     const bool reusable = m_reader->done() && m_reader->keep_alive() &&
-                          m_state.m_phase != owner_phase::finished &&
-                          m_exchange.request().done() && m_body_sent;
+                          m_state.m_phase != owner_phase::finished && m_exchange.request().done() &&
+                          m_body_sent;
     const std::optional<duration> idle_limit = idle_limit_of(m_reader->head());
     m_reader.reset();
     if (reusable) {
--- a/pomelohead/node/adapter.h
+++ b/pomelohead/node/adapter.h
@@ -20,7 +20,7 @@
         boost::asio::io_context&, const settings::source_settings&)>;
 
     forwarding::dialect m_dialect = forwarding::make_own_dialect();
-    open_store_fn m_open_store;     ///< for nodes whose settings name a store
+    open_store_fn m_open_store;    ///< for nodes whose settings name a store
     discovery::decode_fn m_decode; ///< of the store's values
 };
 
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -31,17 +31,16 @@
 
 } // namespace
 
-node::node(settings::node_settings settings, boost::asio::io_context& io, adapter parts)
-    : m_io(io), m_settings(std::move(settings)), m_open_store(parts.m_open_store), m_timers(io), m_incarnation(make_incarnation()),
-      m_started(m_timers.now()), m_freeze(freeze_limit, m_started),
-      m_catalog(m_settings.m_store
-                    ? std::make_unique<discovery::catalog>(
-                          source::follower_options{}, m_timers,
-                          parts.m_open_store(io, *m_settings.m_store), parts.m_decode,
-                          m_incarnation)
-                    : nullptr),
-      m_distributor(distribution_options_of(m_settings), m_timers, io),
-      m_members([this] {
+node::node(settings::node_settings settings, boost::asio::io_context& io, const adapter& parts)
+    : m_io(io), m_settings(std::move(settings)), m_open_store(parts.m_open_store), m_timers(io),
+      m_incarnation(make_incarnation()), m_started(m_timers.now()),
+      m_freeze(freeze_limit, m_started),
+      m_catalog(m_settings.m_store ? std::make_unique<discovery::catalog>(
+                                         source::follower_options{}, m_timers,
+                                         parts.m_open_store(io, *m_settings.m_store),
+                                         parts.m_decode, m_incarnation)
+                                   : nullptr),
+      m_distributor(distribution_options_of(m_settings), m_timers, io), m_members([this] {
           return m_catalog ? std::vector<membership::member>{} : m_distributor.members();
       }),
       m_shutdown(m_timers, shutdown_options_of(m_settings),
@@ -71,11 +70,10 @@
 
 void node::add_gauges()
 {
-    m_stats.gauge("config_version",
-                  [this] {
-                      const config::snapshot_ptr now = current();
-                      return now ? static_cast<double>(now->m_version) : 0.0;
-                  });
+    m_stats.gauge("config_version", [this] {
+        const config::snapshot_ptr now = current();
+        return now ? static_cast<double>(now->m_version) : 0.0;
+    });
     m_stats.gauge("config_age_seconds",
                   [this] { return seconds_or(m_distributor.status().m_config_age, -1); });
     m_stats.gauge("source_up",
@@ -126,7 +124,8 @@
     if (changed == m_settings) {
         return;
     }
-    const bool is_store_changed = m_catalog && changed.m_store && changed.m_store != m_settings.m_store;
+    const bool is_store_changed =
+        m_catalog && changed.m_store && changed.m_store != m_settings.m_store;
     const bool is_service_changed = changed.m_service != m_settings.m_service;
     settings::node_settings taken = m_settings;
     if (is_store_changed) {
@@ -167,9 +166,7 @@
     constexpr duration answer_limit = std::chrono::seconds(1);
     forwarding::http::header<false> head;
     const bool is_known = exchange.request().head().target() == m_ready_path;
-    head.result(!is_known    ? status_not_found
-                : is_ready() ? status_ok
-                             : status_unavailable);
+    head.result(!is_known ? status_not_found : is_ready() ? status_ok : status_unavailable);
     reason why;
     exchange.respond(std::move(head), {}, clock_type::now() + answer_limit, why);
 }
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -11,9 +11,9 @@
 //     n.wait();   // until a graceful stop is over
 #pragma once
 
+#include "pomelohead/discovery/catalog.h"
 #include "pomelohead/lifecycle/drain.h"
 #include "pomelohead/lifecycle/freeze.h"
-#include "pomelohead/discovery/catalog.h"
 #include "pomelohead/node/adapter.h"
 #include "pomelohead/node/member_view.h"
 #include "pomelohead/node/node_options.h"
@@ -25,7 +25,7 @@
 class node {
 public:
     /// `io` must outlive the node.
-    node(settings::node_settings settings, boost::asio::io_context& io, adapter parts = {});
+    node(settings::node_settings settings, boost::asio::io_context& io, const adapter& parts = {});
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     ~node();
--- a/pomelohead/outcome/owner_machine.cc
+++ b/pomelohead/outcome/owner_machine.cc
@@ -84,8 +84,8 @@
         case owner_event_kind::target_refused:
             if (phase() == owner_phase::handed_over) {
                 act(owner_action_kind::release_slot);
-                finish({outcome::not_run, event.m_cause == cause::none ? cause::target_refused
-                                                                       : event.m_cause});
+                finish({outcome::not_run,
+                        event.m_cause == cause::none ? cause::target_refused : event.m_cause});
             }
             return;
         case owner_event_kind::target_lost:
--- a/pomelohead/routing/lost_hosts.cc
+++ b/pomelohead/routing/lost_hosts.cc
@@ -10,8 +10,8 @@
     if (now < host.m_until) {
         return; // calls that were under way fail together: one failure
     }
-    host.m_hold = host.m_hold == duration::zero() ? first_hold
-                                                  : std::min(2 * host.m_hold, longest_hold);
+    host.m_hold =
+        host.m_hold == duration::zero() ? first_hold : std::min(2 * host.m_hold, longest_hold);
     host.m_until = now + host.m_hold;
 }
 
--- a/pomelohead/settings/node_settings.cc
+++ b/pomelohead/settings/node_settings.cc
@@ -252,8 +252,8 @@
 {
     const json policy = json::parse(text, nullptr, false);
     const bool is_good = policy.is_object() && std::ranges::all_of(policy, [](const json& value) {
-        return value.is_boolean() || value.is_number();
-    });
+                             return value.is_boolean() || value.is_number();
+                         });
     if (!is_good) {
         faults.push_back({"/policy", "", "must be an object of numbers and booleans"});
         return;
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -37,11 +37,11 @@
 struct follower_hooks {
     std::function<void(const list_request&, std::function<void(store_answer)>)> m_list;
     std::function<void(const watch_request&, std::function<void(store_answer)>)> m_watch;
-    std::function<void(const key_change&)> m_put;        ///< a new or changed value
+    std::function<void(const key_change&)> m_put; ///< a new or changed value
     std::function<void(const std::string& key)> m_removed;
-    std::function<void()> m_settled; ///< after the puts and removals of one answer
-    std::function<void(const reason&)> m_lost;  ///< the first failed call after good ones
-    std::function<void()> m_regained;           ///< the first good call after failed ones
+    std::function<void()> m_settled;           ///< after the puts and removals of one answer
+    std::function<void(const reason&)> m_lost; ///< the first failed call after good ones
+    std::function<void()> m_regained;          ///< the first good call after failed ones
 };
 
 /// What is known of the store.
@@ -99,10 +99,10 @@
     std::mt19937_64 m_random;
     backoff m_retry;
     follower_status m_status;
-    std::uint64_t m_generation = 0;   // answers to calls of an earlier one are ignored
+    std::uint64_t m_generation = 0;    // answers to calls of an earlier one are ignored
     std::uint64_t m_list_revision = 0; // of the first page of the list under way
-    bool m_reported = false;          // a failure has been reported since the start
-    bool m_was_up = false;            // the store has answered before
+    bool m_reported = false;           // a failure has been reported since the start
+    bool m_was_up = false;             // the store has answered before
     std::optional<time_point> m_regained;
     std::map<std::string, known_key> m_keys;
     timer_subscription m_next;
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -19,7 +19,7 @@
     {
         follower_hooks hooks;
         hooks.m_list = [this](const list_request& r, std::function<void(store_answer)> done) {
-            m_store.list(r, std::move(done));
+            m_store.list(r, done);
         };
         hooks.m_watch = [this](const watch_request& r, std::function<void(store_answer)> done) {
             m_store.watch(r, std::move(done));
--- a/testing/fake_store.cc
+++ b/testing/fake_store.cc
@@ -51,7 +51,7 @@
     }
 }
 
-void fake_store::list(const source::list_request& request, done_fn done)
+void fake_store::list(const source::list_request& request, const done_fn& done)
 {
     ++m_calls;
     if (m_mode != store_mode::up) {
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -38,7 +38,7 @@
     /// Called between a page and the next, with the number of pages given so far.
     std::function<void(std::size_t)> m_between_pages;
 
-    void list(const source::list_request& request, done_fn done);
+    void list(const source::list_request& request, const done_fn& done);
     void watch(const source::watch_request& request, done_fn done);
 
     [[nodiscard]] std::size_t calls() const { return m_calls; }
--- a/testing/raw_target.h
+++ b/testing/raw_target.h
@@ -15,9 +15,9 @@
 
 /// One request as the target got it.
 struct raw_request {
-    std::string m_head;             ///< request line and fields, with their line ends
-    std::size_t m_connection = 0;   ///< which connection of the target it came on, from 1
-    std::size_t m_body_bytes = 0;   ///< read before the reply
+    std::string m_head;           ///< request line and fields, with their line ends
+    std::size_t m_connection = 0; ///< which connection of the target it came on, from 1
+    std::size_t m_body_bytes = 0; ///< read before the reply
 
     /// A field's value; empty where there is none.
     [[nodiscard]] std::string field(std::string_view name) const;
@@ -25,10 +25,10 @@
 
 struct raw_reply {
     std::string m_bytes;
-    bool m_close = false;        ///< ends the connection in order after the bytes
-    bool m_reset = false;        ///< resets it instead
-    duration m_delay{};          ///< before the bytes
-    bool m_before_body = false;  ///< sent without reading the request's body
+    bool m_close = false;       ///< ends the connection in order after the bytes
+    bool m_reset = false;       ///< resets it instead
+    duration m_delay{};         ///< before the bytes
+    bool m_before_body = false; ///< sent without reading the request's body
 };
 
 /// A listener whose connections are served one request at a time.
