Process tests of whole nodes over stand-ins of the platform's store and back ends

Eight cases: headers both ways, versions that move on, go back or are faulty, draining and forged registrations, a store that refuses, limits, loses answers or lets entries lapse, a stop with a request in flight, settings that change, a killed node that comes back. The first run failed in all eight: it expected single calls to spread over idle back ends that are equal; they need not. Now calls run together, more than one back end has slots for.

--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -18,7 +18,8 @@
     explicit followed_store(std::size_t page = 100) : m_store(m_timers, page)
     {
         follower_hooks hooks;
-        hooks.m_list = [this](const list_request& r, std::function<void(store_answer)> done) {
+        hooks.m_list = [this](const list_request& r,
+                              const std::function<void(store_answer)>& done) {
             m_store.list(r, done);
         };
         hooks.m_watch = [this](const watch_request& r, std::function<void(store_answer)> done) {
--- /dev/null
+++ b/testing/platform_standin.py
@@ -0,0 +1,187 @@
+"""Stand-ins for the users' platform: its metadata store and its back ends.
+
+    store = Store(("127.93.0.9", 8142))
+    store.put("op/config", json.dumps({...}))
+    back_end = BackEnd(("127.93.0.1", 8145), "i-1")
+
+Both serve in threads of this process until close(). The store gives pages and watches,
+may refuse calls, fall silent, lose answers and forget its history.
+"""
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+SERVE_POLL_S = 0.05
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        """Connections that nodes close are part of the tests."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def _serve(address, handler):
+    server = _Server(address, handler)
+    threading.Thread(target=server.serve_forever, args=(SERVE_POLL_S,), daemon=True).start()
+    return server
+
+
+class Store:
+    """Keys with one revision counter, which can be listed and watched."""
+
+    def __init__(self, address, page=2):
+        self.page = page
+        self.mode = "up"  # up, refuse (503), limit (429), silent, lost
+        self.calls = 0
+        self._items = {}
+        self._history = []
+        self._forgotten = 0
+        self._revision = 100
+        self._changed = threading.Condition()
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store.serve(self)
+
+        self._server = _serve(address, Handler)
+
+    def close(self):
+        with self._changed:
+            self.mode = "refuse"
+            self._changed.notify_all()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, key, value):
+        with self._changed:
+            self._revision += 1
+            data = value if isinstance(value, bytes) else value.encode()
+            event = {"key": key, "value": base64.b64encode(data).decode(), "rev": self._revision,
+                     "createdRev": self._revision, "lease": 0}
+            self._items[key] = event
+            self._history.append(event)
+            self._changed.notify_all()
+
+    def remove(self, key):
+        with self._changed:
+            self._revision += 1
+            self._items.pop(key, None)
+            self._history.append({"key": key, "rev": self._revision, "tombstone": True})
+            self._changed.notify_all()
+
+    def set_mode(self, mode):
+        with self._changed:
+            self.mode = mode
+            self._changed.notify_all()
+
+    def forget_history(self):
+        with self._changed:
+            self._forgotten = self._revision
+            self._history.clear()
+
+    def serve(self, call):
+        self.calls += 1
+        if self.mode == "silent":
+            time.sleep(30)
+            return
+        if self.mode in ("refuse", "limit"):
+            call.answer(503 if self.mode == "refuse" else 429)
+            return
+        if self.mode == "lost":
+            call.close_connection = True
+            return
+        url = urlparse(call.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/pomelohead/kv-range":
+            body = self._range(query)
+        elif url.path == "/pomelohead/kv-watch":
+            body = self._watch(query)
+        else:
+            call.answer(404)
+            return
+        if body is None:
+            call.answer(410)
+            return
+        call.answer(200, json.dumps(body).encode(), [("Content-Type", "application/json")])
+
+    def _range(self, query):
+        with self._changed:
+            keys = sorted(k for k in self._items
+                          if k.startswith(query.get("prefix", "")) and k > query.get("after", ""))
+            return {"items": [self._items[k] for k in keys[:self.page]],
+                    "hasMore": len(keys) > self.page, "storeRevision": self._revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+
+        def news():
+            return [e for e in self._history if e["rev"] > after]
+
+        with self._changed:
+            while after >= self._forgotten and not news() and self.mode == "up":
+                left = end - time.monotonic()
+                if left <= 0:
+                    break
+                self._changed.wait(left)
+            if after < self._forgotten or self.mode != "up":
+                return None
+            return {"events": news(), "storeRevision": self._revision}
+
+
+class BackEnd:
+    """Answers with its id; counts the requests that it ran."""
+
+    def __init__(self, address, instance, delay_s=0.0):
+        self.instance = instance
+        self.delay_s = delay_s
+        self.runs = []
+        back_end = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                back_end.serve(self)
+
+            do_POST = do_GET
+
+        self._server = _serve(address, Handler)
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def serve(self, call):
+        length = int(call.headers.get("Content-Length", 0))
+        body = call.rfile.read(length)
+        expected = call.headers.get("Pomelohead-Target-Instance")
+        if expected and expected != self.instance:
+            call.answer(421, b"", [("Pomelohead-Instance-Id", self.instance)])
+            return
+        self.runs.append(dict(call.headers))
+        time.sleep(self.delay_s)
+        call.answer(200, f"{self.instance} {len(body)}".encode(),
+                    [("Pomelohead-Attempt-Id", call.headers["Pomelohead-Attempt-Id"]),
+                     ("Pomelohead-Response-Seal", "seal")])
--- /dev/null
+++ b/testing/platform_test.py
@@ -0,0 +1,222 @@
+"""Real nodes over stand-ins of the users' platform: the whole path of a configuration, of
+targets and of requests, with the store away, forgetful or wrong, and nodes that stop."""
+import concurrent.futures
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from platform_standin import BackEnd, Store  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROGRAM = ROOT / "build" / "pomelohead"
+STORE = ("127.93.0.9", 8142)
+LIMIT_S = 20  # against hanging; no verdict rests on how long a step takes
+
+
+def host(number):
+    return f"127.93.0.{number}"
+
+
+def configuration(version, prefix="/rota/", service="svc"):
+    route = {"host": "mesh.example", "prefix": prefix, "kind": "safe", "timeoutMs": 5000,
+             "targetLatencyMs": 300, "priority": 1, "service": service, "maxAttempts": 2}
+    return json.dumps({"version": f"{version:08x}", "baseVersion": "00000000", "resources": [
+        {"entryKind": "routes", "metadata": {"name": "r"}, "spec": route},
+        {"entryKind": "services", "metadata": {"name": "svc"},
+         "spec": {"healthPath": "/health", "maxConnections": 110}},
+        {"entryKind": "limits", "metadata": {}, "spec": {"idleTimeoutMs": 15000}}]})
+
+
+def registration(number, state="ready", sequence=1):
+    return json.dumps({"addr": f"{host(number)}:8145", "born": 1000 + number,
+                       "info": {"service": "svc", "version": "v1", "zone": "bala", "slots": 4},
+                       "status": {"state": state, "sequence": sequence, "coldLeftMs": 0}})
+
+
+class Mesh(unittest.TestCase):
+    """Two nodes with a back end each, and the store."""
+
+    def setUp(self):
+        self.directory = tempfile.TemporaryDirectory(prefix="pomelohead-")
+        self.addCleanup(self.directory.cleanup)
+        self.store = Store(STORE)
+        self.addCleanup(self.store.close)
+        self.back_ends = {}
+        self.nodes = {}
+        self.addCleanup(self.end_nodes)
+        self.store.put("op/config", configuration(4))
+        for number in (1, 2):
+            self.back_ends[number] = BackEnd((host(number), 8145), f"i-{number}", 0.1)
+            self.addCleanup(self.back_ends[number].close)
+            self.store.put(f"servers/i-{number}", registration(number))
+            self.start_node(number)
+        for number in (1, 2):
+            self.wait(lambda n=number: self.ready(n) == 200, f"node {number} is ready")
+            self.wait(lambda n=number: self.targets_seen(n) == {"i-1", "i-2"},
+                      f"node {number} uses both back ends")
+
+    def start_node(self, number):
+        path = pathlib.Path(self.directory.name) / f"node-{number}.conf"
+        ip = host(number)
+        path.write_text(f"node=n-{number}\nzone=bala\nregion=gwynedd\nip={ip}\n"
+                        f"listen.inbound={ip}:8146\nlisten.outbound={ip}:8147\n"
+                        f"listen.ready={ip}:8141\ninternalPorts=7380,7395\nservice=caller\n"
+                        f"platform.addr={STORE[0]}:{STORE[1]}\nbounds.graceS=6\n", "utf-8")
+        log = open(pathlib.Path(self.directory.name) / f"node-{number}.log", "ab")
+        with log:
+            self.nodes[number] = subprocess.Popen(
+                [str(PROGRAM), "node", "--platform", "--policy-file",
+                 str(ROOT / "deploy" / "policy.json")],
+                stdout=log, stderr=log, env=dict(os.environ, POMELOHEAD_CONFIG=str(path)))
+
+    def end_nodes(self):
+        for node in self.nodes.values():
+            if node.poll() is None:
+                node.kill()
+            node.wait()
+
+    def log(self, number):
+        return (pathlib.Path(self.directory.name) / f"node-{number}.log").read_text("utf-8")
+
+    def wait(self, condition, what):
+        end = time.monotonic() + LIMIT_S
+        while not condition():
+            if time.monotonic() > end:
+                self.fail(f"not within {LIMIT_S} s: {what}\n{self.log(1)[-2000:]}")
+            time.sleep(0.05)
+
+    def ready(self, number):
+        try:
+            connection = http.client.HTTPConnection(host(number), 8141, timeout=5)
+            connection.request("GET", "/pomelohead/ready")
+            return connection.getresponse().status
+        except OSError:
+            return None
+        finally:
+            connection.close()
+
+    def call(self, number, path="/rota/1", body=None, identity="a1"):
+        """Status and body of one request on a new connection."""
+        connection = http.client.HTTPConnection(host(number), 8147, timeout=LIMIT_S)
+        try:
+            connection.request("POST" if body else "GET", path, body,
+                               {"Host": "mesh.example", "Pomelohead-Attempt-Id": identity,
+                                "Pomelohead-Deadline-Ms": "5000"})
+            answer = connection.getresponse()
+            return answer.status, answer.read().decode()
+        finally:
+            connection.close()
+
+    def targets_seen(self, number, calls=6):
+        """The back ends that answer when more calls run together than one has slots for."""
+        with concurrent.futures.ThreadPoolExecutor(calls) as pool:
+            answers = list(pool.map(lambda _: self.call(number), range(calls)))
+        return {text.split()[0] for status, text in answers if status == 200}
+
+    def test_requests_reach_back_ends_with_their_headers(self):
+        status, text = self.call(1, body=b"x" * 100_000, identity="id-7")
+        self.assertEqual(status, 200)
+        self.assertTrue(text.endswith(" 100000"))
+        ran = [r for b in self.back_ends.values() for r in b.runs
+               if r["Pomelohead-Attempt-Id"] == "id-7"]
+        self.assertEqual(len(ran), 1)
+        self.assertEqual(ran[0]["Pomelohead-Caller-Service"], "caller")
+        self.assertLessEqual(int(ran[0]["Pomelohead-Deadline-Ms"]), 5000)
+        self.assertEqual(self.call(1, "/none/1")[0], 404)
+
+    def test_a_new_version_comes_into_force_and_no_older_or_faulty_one(self):
+        self.store.put("op/config", configuration(9, "/moved/"))
+        for number in (1, 2):
+            self.wait(lambda n=number: self.call(n, "/moved/1")[0] == 200, "version 9 in force")
+            self.assertEqual(self.call(number, "/rota/1")[0], 404)
+        self.store.put("op/config", configuration(8, "/older/"))
+        self.store.put("op/config", configuration(10, "/faulty/", service="unknown"))
+        self.store.put("op/config", configuration(11, "/cut/")[:200])
+        self.store.put("op/config", configuration(12, "/last/"))
+        self.wait(lambda: self.call(1, "/last/1")[0] == 200, "version 12 in force")
+        for path in ("/older/1", "/faulty/1", "/cut/1", "/moved/1"):
+            self.assertEqual(self.call(1, path)[0], 404)
+
+    def test_draining_and_forged_registrations(self):
+        self.store.put("servers/i-2", registration(2, "draining", 2))
+        self.store.put("servers/forged", b"\xff not json")
+        self.store.put("servers/odd", json.dumps({"addr": 7}))
+        self.wait(lambda: self.targets_seen(1) == {"i-1"}, "the draining back end is left alone")
+        self.store.remove("servers/i-2")
+        self.wait(lambda: "target_gone" in self.log(1), "its removal is seen")
+        self.assertEqual(self.targets_seen(2), {"i-1"})
+
+    def test_the_store_may_be_away_in_every_way(self):
+        for mode in ("refuse", "limit", "lost"):
+            with self.subTest(mode):
+                lost = self.log(1).count('"store_lost"')
+                self.store.set_mode(mode)
+                self.wait(lambda n=lost: self.log(1).count('"store_lost"') > n, "the loss is seen")
+                self.assertEqual(self.targets_seen(1), {"i-1", "i-2"})
+                reached = self.log(1).count('"store_reached"')
+                self.store.set_mode("up")
+                self.wait(lambda n=reached: self.log(1).count('"store_reached"') > n, "its return")
+
+    def test_entries_that_lapse_while_the_store_is_away(self):
+        self.store.set_mode("refuse")
+        self.wait(lambda: '"store_lost"' in self.log(1), "the loss is seen")
+        self.store.remove("servers/i-1")
+        self.store.remove("servers/i-2")
+        self.store.forget_history()
+        reached = self.log(1).count('"store_reached"')
+        self.store.set_mode("up")
+        self.wait(lambda: self.log(1).count('"store_reached"') > reached, "its return")
+        self.assertEqual(self.call(1)[0], 200)
+        self.store.put("servers/i-1", registration(1, sequence=9))
+        self.wait(lambda: self.targets_seen(1) == {"i-1"}, "what is still missing is gone")
+
+    def test_a_stop_cuts_nothing_and_is_announced(self):
+        for back_end in self.back_ends.values():
+            back_end.delay_s = 1.0
+        answers = []
+        slow = threading.Thread(target=lambda: answers.append(self.call(1, identity="slow")))
+        slow.start()
+        self.wait(lambda: any(r["Pomelohead-Attempt-Id"] == "slow"
+                              for b in self.back_ends.values() for r in b.runs), "it runs")
+        self.nodes[1].send_signal(signal.SIGTERM)
+        self.wait(lambda: self.ready(1) != 200, "the ready page says no")
+        slow.join()
+        self.assertEqual(answers[0][0], 200)
+        self.assertEqual(self.nodes[1].wait(LIMIT_S), 0)
+        self.assertEqual(self.call(2)[0], 200)
+
+    def test_settings_change_with_and_without_a_signal(self):
+        path = pathlib.Path(self.directory.name) / "node-1.conf"
+        text = path.read_text("utf-8")
+        self.nodes[1].send_signal(signal.SIGHUP)
+        self.wait(lambda: '"reload_asked"' in self.log(1), "the signal is seen")
+        path.write_text(text.replace("service=caller", "service=other"), "utf-8")
+        self.wait(lambda: '"settings_reloaded"' in self.log(1), "the change is seen")
+        self.assertEqual(self.call(1, identity="after")[0], 200)
+        ran = [r for b in self.back_ends.values() for r in b.runs
+               if r["Pomelohead-Attempt-Id"] == "after"]
+        self.assertEqual(ran[0]["Pomelohead-Caller-Service"], "other")
+        path.write_text("nonsense", "utf-8")
+        self.wait(lambda: '"settings_refused"' in self.log(1), "the fault is reported")
+        self.assertEqual(self.call(1)[0], 200)
+
+    def test_a_killed_node_comes_back_with_its_configuration(self):
+        self.nodes[1].kill()
+        self.nodes[1].wait()
+        self.assertEqual(self.targets_seen(2), {"i-2"})
+        self.start_node(1)
+        self.wait(lambda: self.ready(1) == 200, "it is ready again")
+        self.assertEqual(self.call(1)[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
