The store's keys are named in the adapter only

A comment and the keys of the directory's tests used the platform's names; the directory does not look at keys. No code is changed; discovery_test passes.

--- a/pomelohead/discovery/directory.h
+++ b/pomelohead/discovery/directory.h
@@ -13,7 +13,7 @@
 //   - of two registrations at one address, only that of the later start is in the snapshot.
 //
 //     directory targets(decode, on_snapshot);
-//     targets.put({.m_key = "op/config", .m_revision = 7, .m_value = bytes});
+//     targets.put({.m_key = "configuration", .m_revision = 7, .m_value = bytes});
 //     targets.settle();    // builds a snapshot where something has changed
 #pragma once
 
--- a/pomelohead/discovery/directory_test.cc
+++ b/pomelohead/discovery/directory_test.cc
@@ -89,9 +89,9 @@
 BOOST_AUTO_TEST_CASE(nothing_is_in_force_before_the_first_configuration)
 {
     fed_directory d;
-    d.put("servers/i-1", make_instance("i-1"));
+    d.put("targets/i-1", make_instance("i-1"));
     BOOST_TEST(d.m_directory.current() == nullptr);
-    d.put("op/config", make_configuration(4));
+    d.put("configuration", make_configuration(4));
     BOOST_TEST(d.m_directory.current()->m_version == 4U);
     BOOST_TEST((d.targets() == names{"i-1"}));
     BOOST_TEST(d.m_directory.current()->m_services[0].m_targets[0].m_connections == 110U);
@@ -100,24 +100,24 @@
 BOOST_AUTO_TEST_CASE(the_version_in_force_only_grows)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("op/config", make_configuration(3));
+    d.put("configuration", make_configuration(4));
+    d.put("configuration", make_configuration(3));
     BOOST_TEST(d.m_directory.current()->m_version == 4U);
     BOOST_TEST((d.m_directory.last_refusal().m_code == reason_code::stale));
     config::snapshot other = make_configuration(4);
     other.m_routes[0].m_path_prefix = "/b/";
-    d.put("op/config", other);
+    d.put("configuration", other);
     BOOST_TEST(d.m_directory.current()->m_routes[0].m_path_prefix == "/a/");
     BOOST_TEST((d.m_directory.last_refusal().m_code == reason_code::conflict));
-    d.put("op/config", make_configuration(9));
+    d.put("configuration", make_configuration(9));
     BOOST_TEST(d.m_directory.current()->m_version == 9U);
 }
 
 BOOST_AUTO_TEST_CASE(an_invalid_configuration_is_refused_whole)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("op/config", make_configuration(5, "unknown"));
+    d.put("configuration", make_configuration(4));
+    d.put("configuration", make_configuration(5, "unknown"));
     BOOST_TEST(d.m_directory.current()->m_version == 4U);
     BOOST_TEST((d.m_directory.last_refusal().m_code == reason_code::invalid));
 }
@@ -125,8 +125,8 @@
 BOOST_AUTO_TEST_CASE(a_configuration_stays_when_its_key_goes)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.m_directory.remove("op/config");
+    d.put("configuration", make_configuration(4));
+    d.m_directory.remove("configuration");
     d.m_directory.settle();
     BOOST_TEST(d.m_directory.current()->m_version == 4U);
 }
@@ -134,15 +134,15 @@
 BOOST_AUTO_TEST_CASE(a_draining_target_stays_with_a_drain_rule)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("servers/i-1", make_instance("i-1"));
+    d.put("configuration", make_configuration(4));
+    d.put("targets/i-1", make_instance("i-1"));
     instance draining = make_instance("i-1");
     draining.m_draining = true;
     ++draining.m_sequence;
-    d.put("servers/i-1", draining);
+    d.put("targets/i-1", draining);
     BOOST_TEST((d.targets() == names{"i-1"}));
     BOOST_TEST(d.m_directory.current()->is_draining("i-1"));
-    d.m_directory.remove("servers/i-1");
+    d.m_directory.remove("targets/i-1");
     d.m_directory.settle();
     BOOST_TEST(d.targets().empty());
 }
@@ -150,17 +150,17 @@
 BOOST_AUTO_TEST_CASE(a_registration_of_an_earlier_start_or_beat_changes_nothing)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("servers/i-1", make_instance("i-1", 200));
+    d.put("configuration", make_configuration(4));
+    d.put("targets/i-1", make_instance("i-1", 200));
     instance late = make_instance("i-1", 100);
     late.m_draining = true;
     late.m_sequence = 99;
-    d.put("servers/i-1", late);
+    d.put("targets/i-1", late);
     BOOST_TEST(!d.m_directory.current()->is_draining("i-1"));
     instance old_beat = make_instance("i-1", 200);
     old_beat.m_draining = true;
     old_beat.m_sequence = 4;
-    d.put("servers/i-1", old_beat);
+    d.put("targets/i-1", old_beat);
     BOOST_TEST(!d.m_directory.current()->is_draining("i-1"));
 }
 
@@ -169,13 +169,13 @@
 BOOST_AUTO_TEST_CASE(of_two_registrations_at_one_address_the_later_start_is_used)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("servers/old", make_instance("old", 100));
-    d.put("servers/new", make_instance("new", 200));
+    d.put("configuration", make_configuration(4));
+    d.put("targets/old", make_instance("old", 100));
+    d.put("targets/new", make_instance("new", 200));
     BOOST_TEST((d.targets() == names{"new"}));
-    d.put("servers/elsewhere", make_instance("elsewhere", 300, "10.0.0.2"));
+    d.put("targets/elsewhere", make_instance("elsewhere", 300, "10.0.0.2"));
     BOOST_TEST((d.targets() == names{"elsewhere", "new"}));
-    d.m_directory.remove("servers/new");
+    d.m_directory.remove("targets/new");
     d.m_directory.settle();
     BOOST_TEST((d.targets() == names{"elsewhere", "old"}));
 }
@@ -183,32 +183,32 @@
 BOOST_AUTO_TEST_CASE(an_unreadable_entry_names_no_target_and_the_others_hold)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
-    d.put("servers/i-1", make_instance("i-1"));
-    d.put("servers/i-2", make_instance("i-2", 100, "10.0.0.2"));
-    d.put_unreadable("servers/i-2");
-    d.put_unreadable("servers/i-3");
-    d.put_unreadable("op/config");
+    d.put("configuration", make_configuration(4));
+    d.put("targets/i-1", make_instance("i-1"));
+    d.put("targets/i-2", make_instance("i-2", 100, "10.0.0.2"));
+    d.put_unreadable("targets/i-2");
+    d.put_unreadable("targets/i-3");
+    d.put_unreadable("configuration");
     BOOST_TEST((d.targets() == names{"i-1"}));
 }
 
 BOOST_AUTO_TEST_CASE(a_target_of_a_service_that_the_configuration_lacks_is_not_used)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
+    d.put("configuration", make_configuration(4));
     instance other = make_instance("i-1");
     other.m_service = "cofrestr";
-    d.put("servers/i-1", other);
+    d.put("targets/i-1", other);
     BOOST_TEST(d.targets().empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_snapshot_is_made_only_of_a_change)
 {
     fed_directory d;
-    d.put("op/config", make_configuration(4));
+    d.put("configuration", make_configuration(4));
     const int before = d.m_snapshots;
     d.m_directory.settle();
-    d.put("op/config", make_configuration(4));
+    d.put("configuration", make_configuration(4));
     d.put("other/key", std::monostate{});
     BOOST_TEST(d.m_snapshots == before);
 }
