Of requests alike, those with shorter run times get slots first

A slot spent on an upload served one caller in place of four.

Change: with short_first, of requests of the same rank that can still be on time the one with the shorter typical run time goes first. A route whose served part falls below half of that of all routes goes before the others. Since later arrivals overtake, a wait is predicted from the part of the slots that goes to routes before, so that long requests are refused at once and not after their objective. Tests: admission/short_first_test plays mixed routes at twice the capacity; its player (testing/overload_play) now plays the objectives' overload as well.

--- a/pomelohead/admission/objective_test.cc
+++ b/pomelohead/admission/objective_test.cc
@@ -2,11 +2,10 @@
 // virtual clock against one target, with and without them; what counts is how many
 // callers have their answer within the objective.
 #include "pomelohead/admission/slot_queue.h"
+#include "testing/overload_play.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <map>
-
 namespace pomelohead::admission {
 namespace {
 
@@ -27,59 +26,15 @@
     return options;
 }
 
-struct played {
-    int m_offered = 0;
-    int m_on_time = 0;
-    int m_late = 0;
-    duration m_longest_hold{}; ///< until a refusal
-};
-
 // Offers a request every `gap` for ten seconds.
-played play(admission_options options, duration gap, std::uint32_t depth = 0)
+testing::route_result play(const admission_options& options, duration gap)
 {
-    slot_queue queue(options, slots);
-    std::multimap<time_point, std::uint64_t> ends;
-    std::map<std::uint64_t, time_point> arrived;
-    played out;
-    time_point now = start_time + 1s;
-    const auto start = [&](std::uint64_t id) { ends.emplace(now + run_time, id); };
-    const auto tend = [&] {
-        for (const std::uint64_t id : queue.expire(now)) {
-            out.m_longest_hold = std::max(out.m_longest_hold, now - arrived[id]);
-        }
-        for (const std::uint64_t id : queue.due_starts(now)) {
-            start(id);
-        }
-    };
-    const time_point last = now + 10s;
-    for (std::uint64_t id = 1; now < last; ++id) {
-        const time_point next = now + gap;
-        ++out.m_offered;
-        arrived[id] = now;
-        request_facts facts;
-        facts.m_id = id;
-        facts.m_depth = depth;
-        facts.m_route = "r";
-        facts.m_deadline = now + deadline;
-        facts.m_objective = now + objective;
-        if (queue.offer(facts, now).m_verdict == verdict::start) {
-            start(id);
-        }
-        tend();
-        while (!ends.empty() && ends.begin()->first <= next) {
-            now = ends.begin()->first;
-            const std::uint64_t done = ends.begin()->second;
-            ends.erase(ends.begin());
-            const duration took = now - arrived[done];
-            (took <= objective ? out.m_on_time : out.m_late) += took <= deadline ? 1 : 0;
-            for (const std::uint64_t started : queue.finish(done, now)) {
-                start(started);
-            }
-            tend();
-        }
-        now = next;
-    }
-    return out;
+    const testing::offered_route route{.m_name = "r",
+                                       .m_run_time = run_time,
+                                       .m_gap = gap,
+                                       .m_objective = objective,
+                                       .m_deadline = deadline};
+    return testing::play_overload(options, slots, {route}, 10s).at("r");
 }
 
 } // namespace
@@ -90,8 +45,8 @@
     for (const milliseconds gap : {6ms, 4ms, 3ms}) {
         BOOST_TEST_CONTEXT(gap.count() << " ms apart")
         {
-            const played with = play(options_of(true), gap);
-            const played without = play(options_of(false), gap);
+            const testing::route_result with = play(options_of(true), gap);
+            const testing::route_result without = play(options_of(false), gap);
             const double capacity = 10.0 / 0.075 * slots;
             BOOST_TEST(with.m_on_time >= 0.9 * capacity);
             BOOST_TEST(with.m_on_time > 2 * without.m_on_time);
@@ -105,7 +60,7 @@
 
 BOOST_AUTO_TEST_CASE(below_capacity_objectives_change_nothing)
 {
-    const played with = play(options_of(true), 9ms);
+    const testing::route_result with = play(options_of(true), 9ms);
     BOOST_TEST(with.m_on_time == play(options_of(false), 9ms).m_on_time);
     BOOST_TEST(with.m_late == 0);
 }
--- a/pomelohead/admission/options.h
+++ b/pomelohead/admission/options.h
@@ -18,6 +18,7 @@
     bool m_slow_start = true;         ///< begin with few slots
     bool m_objective_order = false;   ///< what can meet its objective goes before what cannot
     bool m_deep_first = false;        ///< depth in the call chain goes before urgency
+    bool m_short_first = false;       ///< of requests alike, the shorter goes first
 
     /// Slots that long work never takes.
     std::uint32_t m_min_reserve = 1;
@@ -38,7 +39,10 @@
     /// Share of the recent use that an account with waiting work gets whatever
     /// the urgency of the others; divided further among more than ten accounts.
     double m_account_floor = 0.05;
-    /// Over which time an account's use is forgotten.
+    /// With m_short_first: a route whose served part is less than this times that of all
+    /// routes goes first.
+    double m_route_floor = 0.5;
+    /// Over which time the use by an account or a route is forgotten.
     milliseconds m_share_window{1000};
     /// Share of the slots that a new owner begins with.
     double m_slow_start_share = 0.25;
--- a/pomelohead/admission/account_use.cc
+++ b/pomelohead/admission/recent_use.cc
@@ -1,7 +1,7 @@
-// Exponential decay without touching every account: new use is scaled up by
+// Exponential decay without touching every key: new use is scaled up by
 // e^(t / window) instead of scaling all older use down, and the scale is folded
 // back before it grows large.
-#include "pomelohead/admission/account_use.h"
+#include "pomelohead/admission/recent_use.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void account_use::rescale(time_point now)
+void recent_use::rescale(time_point now)
 {
     const std::chrono::duration<double> age = now - m_epoch;
     const std::chrono::duration<double> window = m_window;
@@ -40,29 +40,34 @@
     m_scale = 1;
 }
 
-void account_use::add(const std::string& account, config::work_class work, duration run_time,
-                      time_point now)
+void recent_use::add(const std::string& key, config::work_class work, duration run_time,
+                     time_point now)
 {
     rescale(now);
     const double scaled_s = std::chrono::duration<double>(run_time).count() * m_scale;
     class_use& uses = m_classes.at(index(work));
-    uses.m_use_s[account] += scaled_s;
+    uses.m_use_s[key] += scaled_s;
     uses.m_total_s += scaled_s;
 }
 
-double account_use::of(const std::string& account, config::work_class work) const
+double recent_use::of(const std::string& key, config::work_class work) const
 {
     const class_use& uses = m_classes.at(index(work));
-    const auto it = uses.m_use_s.find(account);
+    const auto it = uses.m_use_s.find(key);
     return it == uses.m_use_s.end() ? 0 : it->second;
 }
 
-bool account_use::is_below_floor(const std::string& account, config::work_class work,
-                                 double floor) const
+double recent_use::share_of(const std::string& key, config::work_class work) const
+{
+    const double total_s = m_classes.at(index(work)).m_total_s;
+    return total_s > 0 ? of(key, work) / total_s : 0;
+}
+
+bool recent_use::is_below_floor(const std::string& key, config::work_class work, double floor) const
 {
     const class_use& uses = m_classes.at(index(work));
-    const double accounts = static_cast<double>(std::max<std::size_t>(1, uses.m_use_s.size()));
-    return of(account, work) < uses.m_total_s * std::min(floor, max_floor_sum / accounts);
+    const double keys = static_cast<double>(std::max<std::size_t>(1, uses.m_use_s.size()));
+    return of(key, work) < uses.m_total_s * std::min(floor, max_floor_sum / keys);
 }
 
 } // namespace pomelohead::admission
--- a/pomelohead/admission/account_use.h
+++ b/pomelohead/admission/recent_use.h
@@ -1,9 +1,10 @@
-// What each account has recently used of one target, for a fair share among them.
+// What each account or route has recently used of one target, for a fair share among
+// them.
 //
 // Use is run time, forgotten exponentially. Short and long work are counted apart:
 // an account's uploads do not put its short requests behind those of others.
 //
-//     account_use use(1s);
+//     recent_use use(1s);
 //     use.add("gwynedd", config::work_class::short_work, 20ms, now);
 //     use.of("gwynedd", config::work_class::short_work) <
 //         use.of("quebec", config::work_class::short_work);
@@ -18,21 +19,23 @@
 
 namespace pomelohead::admission {
 
-/// Decaying use per account and class of work.
-class account_use {
+/// Decaying use per key, an account or a route, and class of work.
+class recent_use {
 public:
-    explicit account_use(duration window) : m_window(window) {}
+    explicit recent_use(duration window) : m_window(window) {}
 
     /// Adds run time; called when a request starts, with the run time expected.
-    void add(const std::string& account, config::work_class work, duration run_time,
-             time_point now);
+    void add(const std::string& key, config::work_class work, duration run_time, time_point now);
 
-    /// Recent use in seconds. Comparable between accounts at one time only.
-    [[nodiscard]] double of(const std::string& account, config::work_class work) const;
+    /// Recent use in seconds. Comparable between keys at one time only.
+    [[nodiscard]] double of(const std::string& key, config::work_class work) const;
 
-    /// Whether an account has had less than `floor` of the recent use, divided
-    /// further where there are many accounts.
-    [[nodiscard]] bool is_below_floor(const std::string& account, config::work_class work,
+    /// The part of the recent use of all keys that was the key's, 0 to 1.
+    [[nodiscard]] double share_of(const std::string& key, config::work_class work) const;
+
+    /// Whether a key has had less than `floor` of the recent use, divided further where
+    /// there are many keys.
+    [[nodiscard]] bool is_below_floor(const std::string& key, config::work_class work,
                                       double floor) const;
 
 private:
--- a/pomelohead/admission/slot_queue.cc
+++ b/pomelohead/admission/slot_queue.cc
@@ -13,6 +13,12 @@
 constexpr milliseconds max_retry_after{10'000};
 constexpr milliseconds ramp_step{50};
 
+// A bound on memory; further routes count as going after the others.
+constexpr std::size_t max_routes = 1000;
+
+// The part of the slots that a predicted wait leaves at least to the routes after others.
+constexpr double min_share_left = 0.05;
+
 using config::work_class;
 
 // Spreads the return of callers that were refused at the same time: 1.0 to 2.0.
@@ -31,7 +37,8 @@
 } // namespace
 
 slot_queue::slot_queue(admission_options options, std::uint32_t slots)
-    : m_options(options), m_slots(slots), m_use(options.m_share_window), m_long_limit(options)
+    : m_options(options), m_slots(slots), m_use(options.m_share_window),
+      m_route_shares(options.m_share_window), m_long_limit(options)
 {
     m_limit = m_slots;
     if (m_options.m_slow_start) {
@@ -96,15 +103,18 @@
     return m_long_limit.allows(m_running_long, m_limit);
 }
 
+duration slot_queue::typical(const request_facts& facts) const
+{
+    return facts.m_expected > duration::zero() ? facts.m_expected
+                                               : m_run_times.typical(facts.m_class, facts.m_route);
+}
+
 duration slot_queue::needed(const request_facts& facts) const
 {
     if (!m_options.m_deadline_admission) {
         return duration::zero();
     }
-    const duration expected = facts.m_expected > duration::zero()
-                                  ? facts.m_expected
-                                  : m_run_times.typical(facts.m_class, facts.m_route);
-    return std::chrono::duration_cast<duration>(expected * m_options.m_needed_share);
+    return std::chrono::duration_cast<duration>(typical(facts) * m_options.m_needed_share);
 }
 
 bool slot_queue::can_be_on_time(const request_facts& facts) const
@@ -139,6 +149,12 @@
             return x_below;
         }
     }
+    if (m_options.m_short_first && x.m_route != y.m_route) {
+        const bool x_below = is_below_floor(x);
+        if (x_below != is_below_floor(y)) {
+            return x_below;
+        }
+    }
     if (m_options.m_deep_first && x.m_depth != y.m_depth) {
         return x.m_depth > y.m_depth;
     }
@@ -154,6 +170,9 @@
             return x_on_time;
         }
     }
+    if (m_options.m_short_first && typical(x) != typical(y)) {
+        return typical(x) < typical(y);
+    }
     if (m_options.m_fair_share && x.m_account != y.m_account) {
         const double x_use = m_use.of(x.m_account, x.m_class);
         const double y_use = m_use.of(y.m_account, y.m_class);
@@ -194,8 +213,15 @@
     if (facts.m_class == work_class::long_work) {
         ++m_running_long;
     }
-    const duration expected = m_run_times.typical(facts.m_class, facts.m_route);
-    m_use.add(facts.m_account, facts.m_class, std::max<duration>(expected, milliseconds(1)), now);
+    const duration expected =
+        std::max<duration>(m_run_times.typical(facts.m_class, facts.m_route), milliseconds(1));
+    m_use.add(facts.m_account, facts.m_class, expected, now);
+    if (m_options.m_short_first) {
+        m_route_shares.started(facts.m_route, facts.m_class, expected, now);
+        if (m_last_of_route.size() < max_routes || m_last_of_route.contains(facts.m_route)) {
+            m_last_of_route[facts.m_route] = facts;
+        }
+    }
     advance(now);
 }
 
@@ -225,6 +251,27 @@
     });
 }
 
+bool slot_queue::is_below_floor(const request_facts& facts) const
+{
+    return m_route_shares.is_below_floor(facts.m_route, facts.m_class, m_options.m_route_floor);
+}
+
+// What requests of other routes take of the slots by going before this one. Those that
+// arrive while it waits do so too, so they lengthen its wait.
+double slot_queue::share_before(const queued_request& entry) const
+{
+    double share = 0;
+    for (const auto& [route, last] : m_last_of_route) {
+        queued_request other{last, 0, {}};
+        other.m_facts.m_objective = time_point::max();
+        if (route != entry.m_facts.m_route && last.m_class == entry.m_facts.m_class &&
+            precedes(other, entry)) {
+            share += m_route_shares.share_of(route, last.m_class);
+        }
+    }
+    return share;
+}
+
 duration slot_queue::predicted_wait(const queued_request& entry) const
 {
     const work_class work = entry.m_facts.m_class;
@@ -234,7 +281,9 @@
     const std::uint32_t others =
         work == work_class::short_work ? m_running_long : running() - m_running_long;
     const std::uint32_t slots = m_limit > others ? m_limit - others : 1;
-    return m_run_times.mean(work) * (ahead + 1) / slots;
+    const double share_left = std::max(1 - share_before(entry), min_share_left);
+    return std::chrono::duration_cast<duration>(m_run_times.mean(work) * (ahead + 1) /
+                                                (slots * share_left));
 }
 
 // Displaces the last of the queued requests of the same class where the new one precedes it.
@@ -294,6 +343,10 @@
     if (is_held) {
         return refuse(facts, {reason_code::conflict, "a request with this id is already held"});
     }
+    if (m_options.m_short_first) {
+        m_route_shares.offered(facts.m_route, facts.m_class,
+                               std::max<duration>(typical(facts), milliseconds(1)), now);
+    }
     if (is_shed(facts)) {
         return refuse(facts, {reason_code::refused, "shed by the operator's rule under load"});
     }
--- a/pomelohead/admission/slot_queue.h
+++ b/pomelohead/admission/slot_queue.h
@@ -9,6 +9,9 @@
 // finish in the time left is neither started nor queued. Where requests have latency
 // objectives, one waits only as long as it can still meet its own, and goes before those
 // of its rank that cannot: in an overload slots go to answers that are still on time.
+// With m_short_first, of those alike the one with the shorter typical run time goes
+// first, which serves the most requests with the slots there are. A route that gets much
+// less of what it asks for than all do goes before the others, so that none starves.
 //
 // A new owner begins with few slots, because its target may still run what an earlier
 // owner started; a target that refuses work sets the limit back to what it runs. From
@@ -26,10 +29,11 @@
 //     for (std::uint64_t id : queue.due_starts(timers.now())) { hand_over(id); }
 #pragma once
 
-#include "pomelohead/admission/account_use.h"
 #include "pomelohead/admission/long_work_limit.h"
 #include "pomelohead/admission/options.h"
+#include "pomelohead/admission/recent_use.h"
 #include "pomelohead/admission/request_facts.h"
+#include "pomelohead/admission/route_shares.h"
 #include "pomelohead/admission/run_times.h"
 
 #include <optional>
@@ -105,8 +109,11 @@
     [[nodiscard]] bool precedes(const queued_request& a, const queued_request& b) const;
     [[nodiscard]] std::vector<queued_request>::iterator next_to_start(time_point now);
     [[nodiscard]] bool is_shed(const request_facts& facts) const;
+    [[nodiscard]] duration typical(const request_facts& facts) const;
     [[nodiscard]] duration needed(const request_facts& facts) const;
     [[nodiscard]] bool can_be_on_time(const request_facts& facts) const;
+    [[nodiscard]] bool is_below_floor(const request_facts& facts) const;
+    [[nodiscard]] double share_before(const queued_request& entry) const;
     [[nodiscard]] duration predicted_wait(const queued_request& entry) const;
     [[nodiscard]] time_point give_up_time(const request_facts& facts, time_point now) const;
     [[nodiscard]] std::uint32_t count_queued(config::work_class work) const;
@@ -128,7 +135,9 @@
     std::vector<std::uint64_t> m_displaced;
     std::vector<config::shed_rule> m_rules;
     run_times m_run_times;
-    account_use m_use;
+    recent_use m_use; // by account
+    route_shares m_route_shares;
+    std::unordered_map<std::string, request_facts> m_last_of_route; // the last one started
     long_work_limit m_long_limit;
 };
 
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -46,6 +46,8 @@
     options.m_bounded_wait = knobs.on("bounded_wait");
     options.m_slow_start = knobs.on("owner_slow_start");
     options.m_objective_order = knobs.on("objective_order");
+    options.m_short_first = knobs.on("short_first");
+    options.m_route_floor = knobs.number("route_floor");
     options.m_deep_first = knobs.on("deep_first");
     options.m_late_wait = milliseconds(knobs.whole<std::int64_t>("late_wait_ms"));
     options.m_queue_per_slot = knobs.whole<std::uint32_t>("queue_per_slot");
