Large bodies go to owners in other failure domains only once there is a slot

Change: a body of 16 KiB or more is offered to an owner in another failure domain by its head with Expect and a digest, which stands for the body in the request's fingerprint.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -57,6 +57,14 @@
     }
 }
 
+// Whether the body waits until the owner has a slot.
+bool entry_attempt::is_offered() const
+{
+    return m_request.m_streamed ||
+           (m_request.m_body.bytes().size() >= offered_body_bytes &&
+            m_target.m_failure_domain != m_service.m_options.m_failure_domain);
+}
+
 bool entry_attempt::write_request()
 {
     http::header<true> head = m_request.m_head;
@@ -75,30 +83,43 @@
         head.set(apart_header, "true");
     }
     body_framing framing = m_request.m_exchange.request().framing();
-    if (m_request.m_streamed) {
+    if (is_offered()) {
         head.set(http::field::expect, "100-continue");
+        head.set(body_digest_header, body_digest(m_request.m_body.bytes()));
     }
-    else if (framing == body_framing::chunked) {
+    if (!m_request.m_streamed && framing == body_framing::chunked) {
         framing = body_framing::length;
         head.set(http::field::content_length, std::to_string(m_request.m_body.bytes().size()));
     }
     message_writer writer(m_connection->m_stream);
     reason why;
     const std::string_view body =
-        m_request.m_streamed ? std::string_view{} : std::string_view(m_request.m_body.bytes());
+        is_offered() ? std::string_view{} : std::string_view(m_request.m_body.bytes());
     if (!writer.write_head(head, framing, body, m_request.m_deadline, why)) {
         tell_lost(why, cause::connection_lost);
         return false;
     }
     m_reader.emplace(m_connection->m_stream, m_connection->m_buffer);
-    if (!m_request.m_streamed) {
+    if (!is_offered()) {
         return true;
     }
     if (!read_head()) {
         return false;
     }
-    // Anything but "go on" is the answer already, and the body stays with the caller.
-    return m_reader->head().result_int() != 100 || stream_body(writer);
+    // Anything but "go on" is the answer already, and the body stays here or with the caller.
+    if (m_reader->head().result_int() != 100) {
+        return true;
+    }
+    return m_request.m_streamed ? stream_body(writer) : send_offered_body(writer);
+}
+
+bool entry_attempt::send_offered_body(message_writer& writer)
+{
+    reason why;
+    // Where it fails the owner may have answered early.
+    return (writer.write_body(m_request.m_body.bytes(), m_request.m_deadline, why) &&
+            writer.finish(m_request.m_deadline, why)) ||
+           !m_abandoned;
 }
 
 bool entry_attempt::stream_body(message_writer& writer)
@@ -194,7 +215,7 @@
     const bool refused =
         outcome::parse_outcome(m_reader->head()[outcome_header]) == outcome::outcome::not_run;
     const bool reusable = whole && m_state == body_state::end && m_reader->keep_alive() &&
-                          !m_abandoned && (!m_request.m_streamed || !refused) &&
+                          !m_abandoned && (!is_offered() || !refused) &&
                           m_request.m_exchange.request().done();
     if (reusable) {
         m_service.pool(m_address).give_back(std::move(m_connection));
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -55,6 +55,8 @@
 
 private:
     bool write_request();
+    [[nodiscard]] bool is_offered() const;
+    bool send_offered_body(message_writer& writer);
     bool stream_body(message_writer& writer);
     bool read_head();
     void take_answer();
--- a/pomelohead/forwarding/headers.cc
+++ b/pomelohead/forwarding/headers.cc
@@ -1,5 +1,8 @@
 #include "pomelohead/forwarding/headers.h"
 
+#include "pomelohead/config/bundle.h"
+#include "pomelohead/outcome/fingerprint.h"
+
 #include <charconv>
 
 namespace pomelohead::forwarding {
@@ -74,13 +77,18 @@
     return std::chrono::milliseconds(*value);
 }
 
+std::string body_digest(std::string_view body)
+{
+    return config::content_hash(body.substr(0, outcome::fingerprint_body_bytes));
+}
+
 void remove_own_fields(http::fields& fields)
 {
     for (const std::string_view name :
          {request_id_header, deadline_header, depth_header, ticket_header, outcome_header,
           reason_header, target_header, route_header, account_header, class_header, urgency_header,
-          version_header, objective_header, attempt_header, apart_header, word_header,
-          retry_after_header, not_run_header}) {
+          version_header, objective_header, attempt_header, apart_header, body_digest_header,
+          word_header, retry_after_header, not_run_header}) {
         fields.erase(name);
     }
 }
--- a/pomelohead/forwarding/headers.h
+++ b/pomelohead/forwarding/headers.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view objective_header = "Pomelohead-Objective-Ms"; ///< time left
 inline constexpr std::string_view attempt_header = "Pomelohead-Attempt";
 inline constexpr std::string_view apart_header = "Pomelohead-Apart"; ///< run alone, or not at all
+/// Tells a body that is sent only once there is a slot for it, see body_digest().
+inline constexpr std::string_view body_digest_header = "Pomelohead-Body-Digest";
 
 // From an owner to an entry.
 inline constexpr std::string_view word_header = "Pomelohead-Word";
@@ -45,6 +47,14 @@
 // From a target that declined a request without running it.
 inline constexpr std::string_view not_run_header = "Pomelohead-Not-Run";
 
+/// Bodies from this size on are sent to an owner in another failure domain only after it has
+/// a slot: a refused one then costs a head in place of the body. Below it the round trip
+/// that this takes costs more than the bytes.
+inline constexpr std::size_t offered_body_bytes = 16UL * 1024UL;
+
+/// What tells a large body from others, from its first bytes.
+[[nodiscard]] std::string body_digest(std::string_view body);
+
 /// The largest accepted deadline or time left.
 inline constexpr std::chrono::milliseconds max_deadline = std::chrono::hours(24);
 
