One relay for each failure domain tells the others of the store's changes

Change: of a failure domain's nodes with registered targets the one with the highest rendezvous score watches the store and answers the others' long polls on the control port, in CBOR, large values deflated (a configuration of 240 KB is some 30 KB). A relay that fails, is behind or has lost the store is passed over for 3 s, and the store asked. A relay's own watches last 1 s, so that a silent store is noticed within the bound. Answers of the store may take as long as they make progress. The followers' state is marked before the hook that tells a loss, which catalog_test found.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -1,26 +1,44 @@
 #include "pomelohead/discovery/catalog.h"
 
+#include "pomelohead/discovery/relayed_store.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::discovery {
 
-catalog::catalog(const catalog_options& options, timer_service& timers, const open_part_fn& open,
-                 decode_fn decode, std::uint64_t seed)
-    : m_timers(timers), m_directory(std::move(decode),
-                                    [this](const config::snapshot_ptr& now) {
-                                        if (m_on_snapshot) {
-                                            m_on_snapshot(now);
-                                        }
-                                    }),
-      m_configuration{"configuration", open(source::store_part::configuration), {}},
-      m_registrations{"registrations", open(source::store_part::registrations), {}}
+catalog::catalog(boost::asio::io_context& io, const catalog_options& options, timer_service& timers,
+                 const open_part_fn& open, decode_fn decode)
+    : m_io(io), m_options(options), m_timers(timers),
+      m_directory(std::move(decode),
+                  [this](const config::snapshot_ptr& now) {
+                      if (m_on_snapshot) {
+                          m_on_snapshot(now);
+                      }
+                  }),
+      m_feeds(options.m_address), m_configuration{"configuration",
+                                                  open_part(open,
+                                                            source::store_part::configuration),
+                                                  {},
+                                                  source::relay(options.m_incarnation)},
+      m_registrations{"registrations",
+                      open_part(open, source::store_part::registrations),
+                      {},
+                      source::relay(options.m_incarnation)},
+      m_relay_server(io, {options.m_address, options.m_relay_port}, m_configuration.m_relay,
+                     m_registrations.m_relay)
 {
+    const std::uint64_t seed = options.m_incarnation;
     m_configuration.m_follower.emplace(options.m_configuration, timers, make_hooks(m_configuration),
                                        seed);
     m_registrations.m_follower.emplace(options.m_registrations, timers, make_hooks(m_registrations),
                                        seed + 1);
 }
 
+std::shared_ptr<source::key_value_store> catalog::open_part(const open_part_fn& open,
+                                                            source::store_part part)
+{
+    return std::make_shared<relayed_store>(m_io, open(part), part, m_feeds, m_options.m_relay_port);
+}
+
 source::follower_hooks catalog::make_hooks(followed_part& part)
 {
     using source::store_answer;
@@ -37,23 +55,49 @@
             done(store->watch(request));
         });
     };
-    hooks.m_put = [this](const source::key_change& change) { m_directory.put(change); };
-    hooks.m_removed = [this](const std::string& key) { m_directory.remove(key); };
-    hooks.m_settled = [this] { m_directory.settle(); };
-    hooks.m_lost = [&part](const reason& why) {
+    hooks.m_put = [this, &part](const source::key_change& change) {
+        m_directory.put(change);
+        part.m_relay.put(change);
+    };
+    hooks.m_removed = [this, &part](const std::string& key) {
+        m_directory.remove(key);
+        part.m_relay.remove(key, part.m_follower->status().m_revision);
+    };
+    hooks.m_settled = [this, &part] { settled(part); };
+    hooks.m_lost = [this, &part](const reason& why) {
+        tell_relay(part);
         log_event(log_level::warning, "store_lost",
                   {{"part", part.m_name}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
     };
-    hooks.m_regained = [&part] {
+    hooks.m_regained = [this, &part] {
+        tell_relay(part);
         log_event(log_level::info, "store_reached", {{"part", part.m_name}});
     };
     return hooks;
 }
 
-void catalog::start()
+void catalog::settled(followed_part& part)
+{
+    m_directory.settle();
+    m_feeds.set_members(m_directory.hosts_of(m_options.m_failure_domain));
+    tell_relay(part);
+}
+
+// Only who hears from the store itself may tell others: news goes one hop.
+void catalog::tell_relay(followed_part& part)
+{
+    const source::follower_status& status = part.m_follower->status();
+    part.m_relay.heard(status.m_up && status.m_listed && m_feeds.is_relay(), status.m_revision);
+}
+
+bool catalog::start(reason& why)
 {
+    if (!m_relay_server.start(why)) {
+        return false;
+    }
     m_configuration.m_follower->start();
     m_registrations.m_follower->start();
+    return true;
 }
 
 void catalog::on_snapshot(std::function<void(const config::snapshot_ptr&)> hook)
@@ -72,8 +116,8 @@
 {
     m_configuration.m_store->cancel();
     m_registrations.m_store->cancel();
-    m_configuration.m_store = open(source::store_part::configuration);
-    m_registrations.m_store = open(source::store_part::registrations);
+    m_configuration.m_store = open_part(open, source::store_part::configuration);
+    m_registrations.m_store = open_part(open, source::store_part::registrations);
     m_configuration.m_follower->restart();
     m_registrations.m_follower->restart();
 }
@@ -93,6 +137,7 @@
         part->m_follower->stop();
         part->m_store->cancel();
     }
+    m_relay_server.stop();
     m_calls.wait();
 }
 
--- a/pomelohead/discovery/catalog.h
+++ b/pomelohead/discovery/catalog.h
@@ -1,6 +1,6 @@
 // A node's configuration and targets, kept up to date from a key-value store.
 //
-//     catalog targets(options, timers, open_store, decode, seed);
+//     catalog targets(io, options, timers, open_store, decode);
 //     targets.on_snapshot([&](const config::snapshot_ptr& now) { use(now); });
 //     targets.start();
 //     ...
@@ -8,6 +8,8 @@
 #pragma once
 
 #include "pomelohead/discovery/directory.h"
+#include "pomelohead/discovery/feed_choice.h"
+#include "pomelohead/discovery/relay_server.h"
 #include "pomelohead/runtime/fiber.h"
 #include "pomelohead/source/store_follower.h"
 
@@ -17,10 +19,14 @@
 
 namespace pomelohead::discovery {
 
-/// How each part of the store is followed.
+/// How each part of the store is followed, and who this node is among those that do.
 struct catalog_options {
     source::follower_options m_configuration;
     source::follower_options m_registrations;
+    std::string m_address;
+    std::uint16_t m_relay_port = 0; ///< the same on all nodes
+    std::string m_failure_domain;
+    std::uint64_t m_incarnation = 0; ///< grows with each start on a host
 };
 
 /// Opens a client for one part of the store.
@@ -31,13 +37,14 @@
 class catalog {
 public:
     /// `timers` must outlive the object.
-    catalog(const catalog_options& options, timer_service& timers, const open_part_fn& open,
-            decode_fn decode, std::uint64_t seed);
+    catalog(boost::asio::io_context& io, const catalog_options& options, timer_service& timers,
+            const open_part_fn& open, decode_fn decode);
 
     /// Sets the hook that is called with each new snapshot.
     void on_snapshot(std::function<void(const config::snapshot_ptr&)> hook);
 
-    void start();
+    /// Fails where the relay's port cannot be opened.
+    bool start(reason& why);
 
     /// Reads everything again, as after a freeze.
     void restart();
@@ -48,6 +55,9 @@
     /// Whether the store has confirmed since restart() what this node believes.
     [[nodiscard]] bool is_confirmed() const;
 
+    /// Serves no other nodes any more.
+    void leave() { m_relay_server.leave(); }
+
     void stop();
 
     /// Null before the first configuration.
@@ -61,15 +71,24 @@
         // Clients that were replaced end their calls by themselves, and live until then.
         std::shared_ptr<source::key_value_store> m_store;
         std::optional<source::store_follower> m_follower;
+        source::relay m_relay;
     };
 
+    [[nodiscard]] std::shared_ptr<source::key_value_store> open_part(const open_part_fn& open,
+                                                                     source::store_part part);
     [[nodiscard]] source::follower_hooks make_hooks(followed_part& part);
+    void settled(followed_part& part);
+    void tell_relay(followed_part& part);
 
+    boost::asio::io_context& m_io;
+    catalog_options m_options;
     timer_service& m_timers;
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
     directory m_directory;
+    feed_choice m_feeds;
     followed_part m_configuration;
     followed_part m_registrations;
+    relay_server m_relay_server;
     std::optional<time_point> m_restarted;
     fiber_group m_calls;
 };
--- /dev/null
+++ b/pomelohead/discovery/catalog_test.cc
@@ -0,0 +1,229 @@
+// Three nodes of a failure domain over loopback and one store: who asks it, who hears of
+// changes, and what happens when the relay loses the store or leaves.
+#include "pomelohead/discovery/catalog.h"
+
+#include "pomelohead/runtime/asio_timer_service.h"
+#include "testing/fake_store.h"
+#include "testing/fiber_program.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pomelohead::discovery {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::store_mode;
+
+constexpr std::uint16_t relay_port = 7402;
+constexpr int node_count = 3;
+
+std::string address_of(int node)
+{
+    return "127.95.0." + std::to_string(node + 1);
+}
+
+// One node's calls to the shared store; may be cut off from it.
+class store_link final : public source::key_value_store {
+public:
+    store_link(testing::fake_store& store, const bool& is_cut) : m_store(store), m_is_cut(is_cut) {}
+
+    source::store_answer list(const source::list_request& request) override
+    {
+        return call([&](const auto& done) { m_store.list(request, done); });
+    }
+    source::store_answer watch(const source::watch_request& request) override
+    {
+        return call([&](const auto& done) { m_store.watch(request, done); });
+    }
+    void cancel() override
+    {
+        m_cancelled = true;
+        m_ended.set();
+    }
+
+private:
+    source::store_answer call(const std::function<void(testing::fake_store::done_fn)>& begin)
+    {
+        auto answer = std::make_shared<source::store_answer>();
+        answer->m_why = {reason_code::unreachable, "cut off"};
+        if (m_is_cut || m_cancelled) {
+            return *answer;
+        }
+        m_ended.reset();
+        begin([this, answer](const source::store_answer& got) {
+            if (!m_cancelled) {
+                *answer = got;
+                m_ended.set();
+            }
+        });
+        m_ended.wait();
+        return m_is_cut ? source::store_answer{.m_why = {reason_code::timed_out, "cut off"}}
+                        : *answer;
+    }
+
+    testing::fake_store& m_store;
+    const bool& m_is_cut;
+    bool m_cancelled = false;
+    fiber_event m_ended;
+};
+
+std::optional<decoded> decode(const source::key_change& change, reason&)
+{
+    if (change.m_key == "configuration") {
+        config::snapshot config;
+        config.m_version = std::stoul(*change.m_value);
+        config.m_services.push_back({.m_name = "rota"});
+        return config;
+    }
+    instance item;
+    item.m_id = change.m_key;
+    item.m_service = "rota";
+    item.m_host = *change.m_value;
+    item.m_port = 7100;
+    // Only hosts of the tests' nodes stand in their failure domain.
+    item.m_failure_domain = change.m_value->starts_with("127.") ? "bala" : "dolgellau";
+    item.m_slots = 4;
+    return item;
+}
+
+struct domain {
+    explicit domain(boost::asio::io_context& io) : m_timers(io), m_store(m_timers)
+    {
+        m_store.put("configuration", "1");
+        for (int node = 0; node < node_count; ++node) {
+            m_store.put("target-" + std::to_string(node), address_of(node));
+        }
+        for (int node = 0; node < node_count; ++node) {
+            catalog_options options;
+            options.m_address = address_of(node);
+            options.m_relay_port = relay_port;
+            options.m_failure_domain = "bala";
+            options.m_incarnation = 1'000U + static_cast<unsigned>(node);
+            const auto open = [this, node](source::store_part) {
+                return std::make_unique<store_link>(m_store, m_is_cut.at(node));
+            };
+            m_nodes.push_back(std::make_unique<catalog>(io, options, m_timers, open, decode));
+            reason why;
+            BOOST_REQUIRE_MESSAGE(m_nodes.back()->start(why), why.m_text);
+        }
+        std::vector<std::string> members;
+        for (int node = 0; node < node_count; ++node) {
+            members.push_back(address_of(node));
+        }
+        feed_choice feeds("other");
+        feeds.set_members(members);
+        while (address_of(m_relay) != *feeds.choose(clock_type::now())) {
+            ++m_relay;
+        }
+    }
+
+    ~domain()
+    {
+        for (const auto& node : m_nodes) {
+            node->stop();
+        }
+    }
+
+    [[nodiscard]] bool has_target(int node, const std::string& name) const
+    {
+        const auto config = m_nodes.at(node)->current();
+        return config && config->find_target(name) != nullptr;
+    }
+
+    // Whether all nodes come to know `name`; a test that waits in vain ends after 20 s.
+    [[nodiscard]] bool all_get(const std::string& name) const
+    {
+        for (int tries = 0; tries < 2'000; ++tries) {
+            int have = 0;
+            for (int node = 0; node < node_count; ++node) {
+                have += has_target(node, name) ? 1 : 0;
+            }
+            if (have == node_count) {
+                return true;
+            }
+            sleep_for(10ms);
+        }
+        return false;
+    }
+
+    asio_timer_service m_timers;
+    testing::fake_store m_store;
+    std::array<bool, node_count> m_is_cut{};
+    std::vector<std::unique_ptr<catalog>> m_nodes;
+    int m_relay = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(one_node_asks_the_store_and_all_hear_of_changes)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        domain d(io);
+        BOOST_TEST(d.all_get("target-0"));
+        sleep_for(300ms); // all have turned to the relay
+        const std::size_t before = d.m_store.calls();
+        for (int i = 0; i < 20; ++i) {
+            d.m_store.put("new-" + std::to_string(i), "10.9.0." + std::to_string(i));
+            BOOST_TEST(d.all_get("new-" + std::to_string(i)));
+        }
+        d.m_store.erase("new-3");
+        d.m_store.put("last", "10.9.1.1");
+        BOOST_TEST(d.all_get("last"));
+        for (int node = 0; node < node_count; ++node) {
+            BOOST_TEST(!d.has_target(node, "new-3"));
+        }
+        // This store's parts are not told apart, so a change ends both watches of a node: the
+        // relay's two calls for each change, where three nodes on their own would make six.
+        // The rest is for watches that end by themselves.
+        BOOST_TEST(d.m_store.calls() - before <= 2 * 22U + 8U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_that_loses_the_store_sends_the_others_to_it)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        domain d(io);
+        BOOST_TEST(d.all_get("target-0"));
+        sleep_for(300ms);
+        d.m_is_cut.at(d.m_relay) = true;
+        d.m_store.put("new", "10.9.0.1"); // ends the watch that waits
+        for (int tries = 0; tries < 2'000; ++tries) {
+            if (d.has_target((d.m_relay + 1) % node_count, "new") &&
+                d.has_target((d.m_relay + 2) % node_count, "new")) {
+                break;
+            }
+            sleep_for(10ms);
+        }
+        BOOST_TEST(d.has_target((d.m_relay + 1) % node_count, "new"));
+        BOOST_TEST(d.has_target((d.m_relay + 2) % node_count, "new"));
+        d.m_is_cut.at(d.m_relay) = false;
+        BOOST_TEST(d.all_get("new"));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(when_the_relay_leaves_the_others_go_on)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        domain d(io);
+        BOOST_TEST(d.all_get("target-0"));
+        sleep_for(300ms);
+        d.m_nodes.at(d.m_relay)->leave();
+        d.m_store.put("new", "10.9.0.1");
+        BOOST_TEST(d.all_get("new")); // the leaving node itself still follows the store
+    });
+}
+
+// The store is dark for a node that starts: its domain's relay has what it needs.
+BOOST_AUTO_TEST_CASE(a_node_that_is_cut_off_from_the_store_follows_the_relay)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        domain d(io);
+        BOOST_TEST(d.all_get("target-0"));
+        sleep_for(300ms);
+        d.m_is_cut.at((d.m_relay + 1) % node_count) = true;
+        d.m_store.put("new", "10.9.0.1");
+        BOOST_TEST(d.all_get("new"));
+    });
+}
+
+} // namespace pomelohead::discovery
--- a/pomelohead/discovery/directory.cc
+++ b/pomelohead/discovery/directory.cc
@@ -125,6 +125,18 @@
     });
 }
 
+std::vector<std::string> directory::hosts_of(const std::string& failure_domain) const
+{
+    std::vector<std::string> hosts;
+    for (const auto& [key, item] : m_instances) {
+        if (item.m_failure_domain == failure_domain && !item.m_draining &&
+            std::ranges::find(hosts, item.m_host) == hosts.end()) {
+            hosts.push_back(item.m_host);
+        }
+    }
+    return hosts;
+}
+
 config::snapshot directory::join() const
 {
     config::snapshot joined = *m_configuration;
--- a/pomelohead/discovery/directory.h
+++ b/pomelohead/discovery/directory.h
@@ -27,6 +27,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace pomelohead::discovery {
 
@@ -55,6 +56,9 @@
     /// Null before the first configuration.
     [[nodiscard]] config::snapshot_ptr current() const { return m_current; }
 
+    /// The addresses of a failure domain's hosts that have a registered target.
+    [[nodiscard]] std::vector<std::string> hosts_of(const std::string& failure_domain) const;
+
     /// Why the latest configuration or registration was not taken.
     [[nodiscard]] const reason& last_refusal() const { return m_last_refusal; }
 
--- /dev/null
+++ b/pomelohead/discovery/relay_server.h
@@ -0,0 +1,52 @@
+// Answers other nodes of the failure domain that follow this one's relays.
+//
+//     GET /relay/PART               all values of the part
+//     GET /relay/PART?cursor=N&wait_ms=M   what came after N, at once or within M
+//
+// 200 with relay_codec's bytes; 410 where the cursor is not known (list again); 503 while
+// this node has not heard from the store itself.
+#pragma once
+
+#include "pomelohead/forwarding/http_server.h"
+#include "pomelohead/source/relay.h"
+
+#include <list>
+
+namespace pomelohead::discovery {
+
+/// The path of a part.
+[[nodiscard]] std::string relay_path(source::store_part part);
+
+class relay_server {
+public:
+    /// All must outlive the object.
+    relay_server(boost::asio::io_context& io, const forwarding::endpoint& where,
+                 source::relay& configuration, source::relay& registrations);
+
+    bool start(reason& why) { return m_server.start(why); }
+
+    /// Refuses from now on, so that the others turn to the store before this node is gone.
+    void leave();
+
+    /// Suspends the calling fiber until no call is under way.
+    void stop();
+
+private:
+    void serve(forwarding::server_exchange& exchange);
+    void answer(forwarding::server_exchange& exchange, unsigned status, const std::string& body);
+    void wait_for_change(forwarding::server_exchange& exchange, const source::relay& news,
+                         std::uint64_t cursor, duration limit);
+    [[nodiscard]] bool may_serve(const source::relay& news) const
+    {
+        return news.in_touch() && !m_leaving;
+    }
+    void wake_all();
+
+    source::relay& m_configuration;
+    source::relay& m_registrations;
+    bool m_leaving = false;
+    std::list<fiber_event*> m_waiting;
+    forwarding::http_server m_server;
+};
+
+} // namespace pomelohead::discovery
--- /dev/null
+++ b/pomelohead/discovery/relayed_store.cc
@@ -0,0 +1,169 @@
+#include "pomelohead/discovery/relayed_store.h"
+
+#include "pomelohead/discovery/relay_server.h"
+#include "pomelohead/forwarding/http_get.h"
+#include "pomelohead/source/relay_codec.h"
+#include "pomelohead/telemetry/log.h"
+
+namespace pomelohead::discovery {
+namespace {
+
+using source::store_answer;
+using source::store_status;
+
+// A relay is in the same failure domain; a packed configuration takes a slow host's link
+// some tenths of a second.
+constexpr duration connect_limit = std::chrono::milliseconds(200);
+constexpr duration answer_limit = std::chrono::milliseconds(1'000);
+// A relay that the store has stopped talking to must notice within the time in which a
+// change is to be in force, so it never waits long without an answer.
+constexpr milliseconds relay_watch_wait{1'000};
+constexpr std::size_t idle_connections = 1;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_gone = 410;
+
+store_answer failure(reason why)
+{
+    store_answer answer;
+    answer.m_why = std::move(why);
+    return answer;
+}
+
+std::optional<store_answer> unpacked(const source::relayed_changes& changes, reason& why)
+{
+    store_answer answer;
+    answer.m_status = store_status::good;
+    answer.m_revision = changes.m_revision;
+    answer.m_relayed = true;
+    for (const source::relayed_item& item : changes.m_items) {
+        source::key_change change{item.m_key, item.m_revision, std::nullopt};
+        if (item.m_value) {
+            change.m_value = source::unpack(*item.m_value, why);
+            if (!change.m_value) {
+                return std::nullopt;
+            }
+        }
+        answer.m_items.push_back(std::move(change));
+    }
+    return answer;
+}
+
+} // namespace
+
+relayed_store::relayed_store(boost::asio::io_context& io,
+                             std::unique_ptr<source::key_value_store> direct,
+                             source::store_part part, feed_choice& feeds, std::uint16_t port)
+    : m_io(io), m_direct(std::move(direct)), m_path(relay_path(part)), m_feeds(feeds), m_port(port)
+{
+}
+
+void relayed_store::use(const std::optional<std::string>& relay)
+{
+    if (m_relay == relay) {
+        return;
+    }
+    log_event(log_level::info, "feed_chosen",
+              {{"path", m_path}, {"from", relay.value_or("store")}});
+    m_relay = relay;
+    m_pool.reset();
+    if (relay) {
+        m_pool.emplace(m_io, forwarding::endpoint{*relay, m_port}, idle_connections, connect_limit);
+    }
+}
+
+store_answer relayed_store::ask(const std::string& relay, const std::string& query, duration limit)
+{
+    reason why{reason_code::cancelled, "the client is closed"};
+    const auto got = m_cancelled ? std::nullopt
+                                 : forwarding::http_get(*m_pool, relay, m_path + query,
+                                                        {.m_deadline = clock_type::now() + limit,
+                                                         .m_max_bytes = source::max_value_bytes},
+                                                        m_in_use, why);
+    if (!got) {
+        return failure(std::move(why));
+    }
+    if (got->m_status == status_gone) {
+        store_answer forgotten;
+        forgotten.m_status = store_status::forgotten;
+        return forgotten;
+    }
+    if (got->m_status != status_ok) {
+        return failure({reason_code::refused,
+                        "the relay " + relay + " answered " + std::to_string(got->m_status)});
+    }
+    const auto changes = source::decode_changes(got->m_body, why);
+    if (!changes) {
+        return failure(std::move(why));
+    }
+    if (changes->m_revision < m_heard) {
+        return failure({reason_code::stale, "the relay " + relay + " is behind"});
+    }
+    auto answer = unpacked(*changes, why);
+    if (!answer) {
+        return failure(std::move(why));
+    }
+    m_cursor = changes->m_cursor;
+    m_heard = changes->m_revision;
+    return std::move(*answer);
+}
+
+store_answer relayed_store::from_store(store_answer answer)
+{
+    m_heard = std::max(m_heard, answer.m_revision);
+    return answer;
+}
+
+store_answer relayed_store::list(const source::list_request& request)
+{
+    const auto relay =
+        request.m_after.empty() ? m_feeds.choose(clock_type::now()) : std::optional<std::string>{};
+    if (relay) {
+        use(relay);
+        store_answer all = ask(*relay, "", answer_limit);
+        if (all.m_status == store_status::good || m_cancelled) {
+            return all;
+        }
+        log_event(log_level::info, "relay_failed", {{"relay", *relay}, {"why", all.m_why.m_text}});
+        m_feeds.failed(*relay, clock_type::now());
+    }
+    use(std::nullopt);
+    return from_store(m_direct->list(request));
+}
+
+store_answer relayed_store::watch(const source::watch_request& request)
+{
+    store_answer forgotten;
+    forgotten.m_status = store_status::forgotten;
+    const auto relay = m_feeds.choose(clock_type::now());
+    if (relay != m_relay) {
+        return forgotten;
+    }
+    if (!relay) {
+        source::watch_request direct = request;
+        if (m_feeds.is_relay()) {
+            direct.m_wait = std::min(direct.m_wait, relay_watch_wait);
+        }
+        return from_store(m_direct->watch(direct));
+    }
+    store_answer news = ask(*relay,
+                            "?cursor=" + std::to_string(m_cursor) +
+                                "&wait_ms=" + std::to_string(request.m_wait.count()),
+                            request.m_wait + answer_limit);
+    if (news.m_status == store_status::failed && !m_cancelled) {
+        log_event(log_level::info, "relay_failed", {{"relay", *relay}, {"why", news.m_why.m_text}});
+        m_feeds.failed(*relay, clock_type::now());
+        return forgotten;
+    }
+    return news;
+}
+
+void relayed_store::cancel()
+{
+    m_cancelled = true;
+    m_direct->cancel();
+    if (m_in_use != nullptr) {
+        m_in_use->m_stream.close();
+    }
+}
+
+} // namespace pomelohead::discovery
--- /dev/null
+++ b/pomelohead/discovery/relayed_store.h
@@ -0,0 +1,48 @@
+// One part of the store as a node follows it: through its failure domain's relay where
+// there is one, else by its own calls.
+//
+// A change of feed is told as "forgotten", so that the follower lists again from the new
+// one. A relay that is behind what the node has heard already counts as failed: values
+// never go back.
+//
+//     relayed_store store(io, open_direct(), source::store_part::registrations, feeds, port);
+#pragma once
+
+#include "pomelohead/discovery/feed_choice.h"
+#include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/source/key_value.h"
+
+#include <memory>
+
+namespace pomelohead::discovery {
+
+class relayed_store final : public source::key_value_store {
+public:
+    /// `io` and `feeds` must outlive the object; relays listen on `port`.
+    relayed_store(boost::asio::io_context& io, std::unique_ptr<source::key_value_store> direct,
+                  source::store_part part, feed_choice& feeds, std::uint16_t port);
+
+    [[nodiscard]] source::store_answer list(const source::list_request& request) override;
+    [[nodiscard]] source::store_answer watch(const source::watch_request& request) override;
+    void cancel() override;
+
+private:
+    [[nodiscard]] source::store_answer ask(const std::string& relay, const std::string& query,
+                                           duration limit);
+    [[nodiscard]] source::store_answer from_store(source::store_answer answer);
+    void use(const std::optional<std::string>& relay);
+
+    boost::asio::io_context& m_io;
+    std::unique_ptr<source::key_value_store> m_direct;
+    std::string m_path;
+    feed_choice& m_feeds;
+    std::uint16_t m_port;
+    std::optional<std::string> m_relay; ///< the feed of the latest list; nothing: the store
+    std::optional<forwarding::connection_pool> m_pool; ///< to m_relay
+    forwarding::client_connection* m_in_use = nullptr;
+    std::uint64_t m_cursor = 0; ///< of m_relay
+    std::uint64_t m_heard = 0;  ///< the highest revision of any feed
+    bool m_cancelled = false;
+};
+
+} // namespace pomelohead::discovery
--- /dev/null
+++ b/pomelohead/forwarding/http_get.cc
@@ -0,0 +1,54 @@
+#include "pomelohead/forwarding/http_get.h"
+
+namespace pomelohead::forwarding {
+namespace {
+
+bool read_whole(response_reader& reader, const get_limits& limits, std::string& body, reason& why)
+{
+    std::string piece;
+    body_state state = reader.done() ? body_state::end : body_state::more;
+    while (state == body_state::more) {
+        const time_point deadline = clock_type::now() + limits.m_piece_limit;
+        state = reader.read_body(piece, max_piece_bytes, deadline, why);
+        body += piece;
+        if (body.size() > limits.m_max_bytes) {
+            why = {reason_code::too_large, "the answer is too large"};
+            return false;
+        }
+    }
+    return state == body_state::end;
+}
+
+} // namespace
+
+std::optional<whole_answer> http_get(connection_pool& pool, const std::string& host,
+                                     const std::string& path, const get_limits& limits,
+                                     client_connection*& in_use, reason& why)
+{
+    auto connection = pool.take(std::min(limits.m_deadline, limits.m_connect_deadline), why);
+    if (!connection) {
+        return std::nullopt;
+    }
+    in_use = connection.get();
+    http::header<true> head;
+    head.method(http::verb::get);
+    head.target(path);
+    head.set(http::field::host, host);
+    message_writer writer(connection->m_stream);
+    response_reader reader(connection->m_stream, connection->m_buffer);
+    whole_answer answer;
+    const bool good = writer.write_head(head, body_framing::none, {}, limits.m_deadline, why) &&
+                      reader.read_head({.m_first_byte = limits.m_deadline}, why) &&
+                      read_whole(reader, limits, answer.m_body, why);
+    in_use = nullptr;
+    if (!good) {
+        return std::nullopt;
+    }
+    answer.m_status = reader.head().result_int();
+    if (reader.keep_alive()) {
+        pool.give_back(std::move(connection));
+    }
+    return answer;
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/http_get.h
@@ -0,0 +1,33 @@
+// One GET with its whole answer in memory, for calls between processes.
+//
+//     reason why;
+//     std::optional<whole_answer> a = http_get(pool, "10.0.0.7", "/x", {.m_deadline = d}, why);
+#pragma once
+
+#include "pomelohead/forwarding/connection_pool.h"
+
+namespace pomelohead::forwarding {
+
+/// Limits of one call.
+struct get_limits {
+    time_point m_deadline; ///< for the head of the answer
+    time_point m_connect_deadline = time_point::max();
+    /// For each piece of the body: a large body over a slow link takes long, and goes on.
+    duration m_piece_limit = std::chrono::milliseconds(1'500);
+    std::size_t m_max_bytes = 16UL * 1024UL * 1024UL;
+};
+
+/// A status with its body.
+struct whole_answer {
+    unsigned m_status = 0;
+    std::string m_body;
+};
+
+/// Asks for `path`. Fails with the reasons of an exchange, and too_large. While the call is
+/// under way `in_use` points to its connection, which may be closed to end it.
+[[nodiscard]] std::optional<whole_answer> http_get(connection_pool& pool, const std::string& host,
+                                                   const std::string& path,
+                                                   const get_limits& limits,
+                                                   client_connection*& in_use, reason& why);
+
+} // namespace pomelohead::forwarding
--- a/pomelohead/membership/overlay.cc
+++ b/pomelohead/membership/overlay.cc
@@ -83,4 +83,11 @@
     return static_cast<std::size_t>(better) < count;
 }
 
+std::string first_watcher(const std::vector<std::string>& addresses)
+{
+    const auto best = std::ranges::max_element(
+        addresses, {}, [](const std::string& address) { return hash(address, watcher_salt); });
+    return best == addresses.end() ? std::string{} : *best;
+}
+
 } // namespace pomelohead::membership
--- a/pomelohead/membership/overlay.h
+++ b/pomelohead/membership/overlay.h
@@ -14,6 +14,7 @@
 
 #include "pomelohead/membership/member.h"
 
+#include <string>
 #include <vector>
 
 namespace pomelohead::membership {
@@ -38,4 +39,8 @@
 [[nodiscard]] bool is_watcher(const member& self, const std::vector<const member*>& present,
                               std::size_t count);
 
+/// The address with the highest rendezvous score; empty where there is none. Nodes with the
+/// same view choose the same one.
+[[nodiscard]] std::string first_watcher(const std::vector<std::string>& addresses);
+
 } // namespace pomelohead::membership
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -35,11 +35,10 @@
     : m_io(io), m_settings(std::move(settings)), m_open_store(parts.m_open_store), m_timers(io),
       m_incarnation(make_incarnation()), m_started(m_timers.now()),
       m_freeze(freeze_limit, m_started),
-      m_catalog(m_settings.m_store
-                    ? std::make_unique<discovery::catalog>(catalog_options_of(m_settings), m_timers,
-                                                           opener_of(*m_settings.m_store),
-                                                           parts.m_decode, m_incarnation)
-                    : nullptr),
+      m_catalog(m_settings.m_store ? std::make_unique<discovery::catalog>(
+                                         io, catalog_options_of(m_settings, m_incarnation),
+                                         m_timers, opener_of(*m_settings.m_store), parts.m_decode)
+                                   : nullptr),
       m_distributor(distribution_options_of(m_settings), m_timers, io), m_members([this] {
           return m_catalog ? std::vector<membership::member>{} : m_distributor.members();
       }),
@@ -87,6 +86,7 @@
                   [this] { return static_cast<double>(m_distributor.status().m_bytes_sent); });
     m_stats.gauge("control_bytes_received",
                   [this] { return static_cast<double>(m_distributor.status().m_bytes_received); });
+    m_stats.gauge("log_lines_dropped", [] { return static_cast<double>(dropped_log_lines()); });
     m_stats.gauge("in_flight",
                   [this] { return static_cast<double>(m_shutdown.state().m_in_flight); });
 }
@@ -102,7 +102,9 @@
     }
     if (m_catalog) {
         m_catalog->on_snapshot(on_applied);
-        m_catalog->start();
+        if (!m_catalog->start(why)) {
+            return false;
+        }
     }
     else {
         m_distributor.on_applied(on_applied);
@@ -243,7 +245,10 @@
     case lifecycle::shutdown_phase::serving:
         return;
     case lifecycle::shutdown_phase::announcing:
-        if (!m_catalog) {
+        if (m_catalog) {
+            m_catalog->leave();
+        }
+        else {
             m_distributor.announce_leaving();
         }
         m_entry.server().announce_close();
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -139,7 +139,8 @@
     return options;
 }
 
-discovery::catalog_options catalog_options_of(const settings::node_settings& settings)
+discovery::catalog_options catalog_options_of(const settings::node_settings& settings,
+                                              std::uint64_t incarnation)
 {
     // The part of the time within which a change is to be in force that it may wait for
     // others; the rest is for the call, the decoding, and a second try. A configuration
@@ -147,6 +148,10 @@
     constexpr double registrations_part = 0.4;
     constexpr double configuration_part = 0.25;
     discovery::catalog_options options;
+    options.m_address = settings.m_listen.m_address;
+    options.m_relay_port = settings.m_listen.m_control_port;
+    options.m_failure_domain = settings.m_failure_domain;
+    options.m_incarnation = incarnation;
     options.m_configuration.m_newest_only = true;
     if (settings.m_in_force_within) {
         const auto part_of = [&settings](double part) {
--- a/pomelohead/node/node_options.h
+++ b/pomelohead/node/node_options.h
@@ -24,8 +24,8 @@
                                                          const forwarding::dialect& names,
                                                          std::uint64_t incarnation);
 
-[[nodiscard]] discovery::catalog_options
-catalog_options_of(const settings::node_settings& settings);
+[[nodiscard]] discovery::catalog_options catalog_options_of(const settings::node_settings& settings,
+                                                            std::uint64_t incarnation);
 
 [[nodiscard]] lifecycle::shutdown_options
 shutdown_options_of(const settings::node_settings& settings);
--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -57,7 +57,8 @@
     store_status m_status = store_status::failed;
     std::uint64_t m_revision = 0; ///< the store's revision that the answer reaches to
     std::vector<key_change> m_items;
-    bool m_more = false; ///< a page: others follow
+    bool m_more = false;    ///< a page: others follow
+    bool m_relayed = false; ///< another node's: it cost the store no call
     reason m_why;
 
     bool operator==(const store_answer&) const = default;
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -60,6 +60,7 @@
     succeeded();
     if (after.empty()) {
         m_list_revision = page.m_revision;
+        m_list_relayed = page.m_relayed;
     }
     for (const key_change& item : page.m_items) {
         take(item);
@@ -86,7 +87,7 @@
     const bool is_first = !std::exchange(m_status.m_listed, true);
     m_status.m_revision = m_list_revision;
     m_hooks.m_settled();
-    if (m_options.m_newest_only && m_list_changed && !is_first) {
+    if (m_options.m_newest_only && m_list_changed && !is_first && !m_list_relayed) {
         list_later(m_options.m_batch_delay);
         return;
     }
@@ -133,12 +134,14 @@
     m_status.m_revision = std::max(m_status.m_revision, changes.m_revision);
     if (!changes.m_items.empty()) {
         m_hooks.m_settled();
-        if (m_options.m_newest_only) {
+        // A relay tells the newest values only.
+        if (m_options.m_newest_only && !changes.m_relayed) {
             list_later(m_options.m_batch_delay);
             return;
         }
     }
-    m_next = m_timers.after(m_options.m_batch_delay, [this] { watch(); });
+    const duration delay = changes.m_relayed ? m_options.m_relayed_delay : m_options.m_batch_delay;
+    m_next = m_timers.after(delay, [this] { watch(); });
 }
 
 void store_follower::take(const key_change& change)
@@ -193,12 +196,12 @@
 
 void store_follower::failed(const reason& why)
 {
-    if (m_status.m_up || !m_reported) {
-        m_hooks.m_lost(why);
+    const bool was_up = std::exchange(m_status.m_up, false);
+    m_status.m_last_failure = why;
+    if (was_up || !m_reported) {
         m_reported = true;
+        m_hooks.m_lost(why);
     }
-    m_status.m_up = false;
-    m_status.m_last_failure = why;
     ++m_generation;
     list_later(m_retry.next(m_random));
 }
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -32,6 +32,8 @@
     /// Whether changes in quick succession are followed by listing, not by watching: a watch
     /// tells each value that a key has had, a list only the newest. For large values.
     bool m_newest_only = false;
+    /// In place of m_batch_delay after a relay's answer: relays pace themselves.
+    milliseconds m_relayed_delay{20};
     /// Writers are back about two seconds after the store is.
     milliseconds m_lapse_grace{2'300};
     backoff_options m_retry{.m_base = milliseconds(200), .m_limit = milliseconds(1'000)};
@@ -106,8 +108,9 @@
     std::uint64_t m_generation = 0;    // answers to calls of an earlier one are ignored
     std::uint64_t m_list_revision = 0; // of the first page of the list under way
     bool m_list_changed = false;       // the list under way has told something new
-    bool m_reported = false;           // a failure has been reported since the start
-    bool m_was_up = false;             // the store has answered before
+    bool m_list_relayed = false;
+    bool m_reported = false; // a failure has been reported since the start
+    bool m_was_up = false;   // the store has answered before
     std::optional<time_point> m_regained;
     std::map<std::string, known_key> m_keys;
     timer_subscription m_next;
