A request can be traced through the nodes' logs; lines about requests are bounded

Cause: owners wrote nothing of a request, an entry's line alone did not say why an owner refused, and under load nothing bounded the lines or kept a full pipe from blocking. The entry's line has the configuration's version.

--- a/pomelohead/cli/main.cc
+++ b/pomelohead/cli/main.cc
@@ -3,6 +3,7 @@
 #include "pomelohead/cli/node_command.h"
 #include "pomelohead/cli/sheet_command.h"
 #include "pomelohead/cli/status_command.h"
+#include "pomelohead/cli/trace_command.h"
 #include "pomelohead/cli/wait_command.h"
 
 #include <CLI/CLI.hpp>
@@ -18,6 +19,7 @@
     pomelohead::cli::add_status_command(app, exit_code);
     pomelohead::cli::add_wait_command(app, exit_code);
     pomelohead::cli::add_explain_command(app, exit_code);
+    pomelohead::cli::add_trace_command(app, exit_code);
     app.footer(
         "Exit codes: 0 good, 1 as each command says, 2 wrong usage or nothing to work on.\n\n"
         "Examples:\n"
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t max_request_id_bytes = 128;
 constexpr duration answer_limit = std::chrono::seconds(10);
 
+// Of the reason in a log line, which names each target of a service.
+constexpr std::size_t max_detail_bytes = 600;
+
 // Beyond the caller's deadline: an owner's own "not run" may still be on its way.
 constexpr duration deadline_grace = std::chrono::milliseconds(20);
 
@@ -297,7 +300,7 @@
     reason why;
     auto target = m_service.choose(*m_config, *m_target_set, m_call, tried, why);
     if (!target) {
-        m_detail = why.m_text;
+        m_detail = why.m_text.substr(0, max_detail_bytes);
         feed({.m_kind = entry_event_kind::no_owner});
         return;
     }
@@ -422,19 +425,20 @@
     if (m_route != nullptr && end.m_outcome == outcome::outcome::complete) {
         m_service.m_stats.request_latency(account, work_class).record(took);
     }
-    log_event(end.m_outcome == outcome::outcome::complete ? log_level::debug : log_level::info,
-              "request",
-              {{"id", m_request_id},
-               {"account", account},
-               {"class", work_class},
-               {"route", m_route != nullptr ? m_route->m_name : ""},
-               {"target", m_attempts.empty() ? "" : m_attempts.back()->target().m_name},
-               {"attempts", m_attempts.size()},
-               {"outcome", outcome_text},
-               {"reason", outcome::to_string(end.m_cause)},
-               {"detail", m_detail},
-               {"status", status},
-               {"ms", std::chrono::duration<double, std::milli>(took).count()}});
+    log_request(end.m_outcome == outcome::outcome::complete ? log_level::debug : log_level::info,
+                "request",
+                {{"id", m_request_id},
+                 {"account", account},
+                 {"class", work_class},
+                 {"route", m_route != nullptr ? m_route->m_name : ""},
+                 {"version", m_config ? m_config->m_version : 0},
+                 {"target", m_attempts.empty() ? "" : m_attempts.back()->target().m_name},
+                 {"attempts", m_attempts.size()},
+                 {"outcome", outcome_text},
+                 {"reason", outcome::to_string(end.m_cause)},
+                 {"detail", m_detail},
+                 {"status", status},
+                 {"ms", std::chrono::duration<double, std::milli>(took).count()}});
 }
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -32,6 +32,16 @@
     return std::string(value);
 }
 
+// A large body is known by its digest, which an entry can tell before it sends the body.
+std::string body_mark(const http::header<true>& head, const std::string& body)
+{
+    const auto digest = head.find(body_digest_header);
+    if (digest != head.end()) {
+        return text_of(digest->value());
+    }
+    return body.size() < offered_body_bytes ? body : body_digest(body);
+}
+
 outcome::request_content content_of(const http::header<true>& head, const std::string& body)
 {
     outcome::request_content content;
@@ -40,7 +50,7 @@
     for (const auto& field : head) {
         content.m_headers.push_back({text_of(field.name_string()), text_of(field.value())});
     }
-    content.m_body_prefix = body.substr(0, outcome::fingerprint_body_bytes);
+    content.m_body_prefix = body_mark(head, body);
     return content;
 }
 
@@ -68,8 +78,8 @@
         !judge_quarantine()) {
         return;
     }
-    if (m_body.whole()) {
-        m_watch = m_exchange.watch([this] { feed({.m_kind = owner_event_kind::entry_left}); });
+    if (m_body.whole() || m_is_offered) {
+        watch_entry();
     }
     ask_for_slot();
     work();
@@ -150,8 +160,8 @@
 bool owner_exchange::read_body()
 {
     // A body that the entry offers by Expect is asked for once there is a slot.
-    const bool offered = m_exchange.request().head().count(http::field::expect) > 0;
-    if (offered) {
+    m_is_offered = m_exchange.request().head().count(http::field::expect) > 0;
+    if (m_is_offered) {
         return true;
     }
     reason why;
@@ -165,6 +175,29 @@
     return false;
 }
 
+// Asks for an offered body and takes it, whole unless it is longer than what is kept.
+bool owner_exchange::collect_body()
+{
+    reason why;
+    m_watch.reset();
+    if (!m_exchange.send_continue(m_deadline, why) ||
+        !m_body.collect(m_exchange.request(), m_deadline, why)) {
+        m_exchange.close_after();
+        feed({.m_kind = why.m_code == reason_code::timed_out ? owner_event_kind::deadline
+                                                             : owner_event_kind::entry_left});
+        return false;
+    }
+    if (m_body.whole()) {
+        watch_entry();
+    }
+    return true;
+}
+
+void owner_exchange::watch_entry()
+{
+    m_watch = m_exchange.watch([this] { feed({.m_kind = owner_event_kind::entry_left}); });
+}
+
 bool owner_exchange::judge_ticket()
 {
     outcome::request_content content = content_of(m_exchange.request().head(), m_body.bytes());
@@ -237,6 +270,7 @@
         feed({.m_kind = owner_event_kind::queued});
         return;
     case admission::verdict::refused:
+        m_detail = decision.m_why.m_text;
         m_retry_hint = decision.m_retry_after;
         feed({.m_kind = owner_event_kind::refused,
               .m_cause = m_apart ? cause::no_idle_target : cause::overloaded});
@@ -359,18 +393,15 @@
 
 void owner_exchange::connect_target()
 {
+    if (m_is_offered && !collect_body()) {
+        return;
+    }
     reason why;
     m_connection = m_target->pool().take(m_deadline, why);
     if (!m_connection) {
         feed({.m_kind = owner_event_kind::connect_failed});
         return;
     }
-    if (!m_body.whole()) {
-        reason lost;
-        if (!m_exchange.send_continue(m_deadline, lost)) {
-            feed({.m_kind = owner_event_kind::entry_left});
-        }
-    }
     feed({.m_kind = owner_event_kind::ready_to_write, .m_facts = facts()});
 }
 
@@ -666,6 +697,7 @@
     m_service.m_stats.add("owner_requests_total",
                           {{"outcome", std::string(outcome::to_string(end.m_outcome))},
                            {"reason", std::string(outcome::to_string(end.m_cause))}});
+    log_end(end);
     if (end.m_outcome == outcome::outcome::complete && m_answer) {
         send_whole(m_answer->m_status, *m_answer);
         return;
@@ -681,6 +713,26 @@
     m_exchange.respond(head, {}, clock_type::now() + answer_limit, why);
 }
 
+void owner_exchange::log_end(const outcome::conclusion& end) const
+{
+    const admission::load_word load = m_target ? m_target->word() : admission::load_word{};
+    const auto ms = [](time_point since) {
+        return std::chrono::duration<double, std::milli>(clock_type::now() - since).count();
+    };
+    log_request(end.m_outcome == outcome::outcome::complete ? log_level::debug : log_level::info,
+                "owner_request",
+                {{"id", m_request_id},
+                 {"route", m_facts.m_route},
+                 {"target", m_target ? m_target->target().m_name : ""},
+                 {"outcome", outcome::to_string(end.m_outcome)},
+                 {"reason", outcome::to_string(end.m_cause)},
+                 {"detail", m_detail},
+                 {"free_slots", load.m_free},
+                 {"queued", load.m_queued},
+                 {"left_ms", -ms(m_deadline)},
+                 {"ms", ms(m_arrived)}});
+}
+
 void owner_exchange::send_whole(std::uint16_t status, const outcome::kept_answer& answer)
 {
     http::header<false> head;
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -31,6 +31,8 @@
     bool read_head_fields();
     bool find_target();
     bool read_body();
+    bool collect_body();
+    void watch_entry();
     bool judge_ticket();
     bool judge_quarantine();
     void ask_for_slot();
@@ -56,6 +58,7 @@
 
     void refuse(outcome::cause why, milliseconds retry_hint = {});
     void answer(const outcome::conclusion& end);
+    void log_end(const outcome::conclusion& end) const;
     void send_whole(std::uint16_t status, const outcome::kept_answer& answer);
     void add_own_fields(http::header<false>& head) const;
 
@@ -70,8 +73,10 @@
     bool m_apart = false;
     std::uint64_t m_epoch = 0;
     milliseconds m_retry_hint{};
+    std::string m_detail; ///< why it was refused, in the log line
     std::optional<outcome::ticket> m_ticket;
     kept_body m_body;
+    bool m_is_offered = false; ///< the entry sends the body once it is asked to
 
     outcome::owner_state m_state;
     std::deque<outcome::owner_action> m_todo;
--- a/pomelohead/telemetry/log.cc
+++ b/pomelohead/telemetry/log.cc
@@ -1,10 +1,15 @@
 #include "pomelohead/telemetry/log.h"
 
+#include "pomelohead/telemetry/line_budget.h"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <ctime>
 #include <memory>
@@ -18,6 +23,7 @@
     log4cplus::Initializer m_library;
     log4cplus::Logger m_logger = log4cplus::Logger::getRoot();
     std::string m_node;
+    line_budget m_request_lines;
 };
 
 std::optional<log_state>& state()
@@ -72,6 +78,41 @@
     return std::string(text) + '.' + fraction + 'Z';
 }
 
+bool is_written(log_level level)
+{
+    return state() && state()->m_logger.isEnabledFor(library_level(level));
+}
+
+// A pipe that takes PIPE_BUF bytes counts as ready, so that a shorter line does not block.
+bool is_output_ready()
+{
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&out, 1, 0) > 0;
+}
+
+void write_line(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    line_budget& budget = state()->m_request_lines;
+    if (!is_output_ready()) {
+        budget.drop();
+        return;
+    }
+    nlohmann::ordered_json line = {{"time", timestamp()},
+                                   {"level", level_name(level)},
+                                   {"node", state()->m_node},
+                                   {"event", event}};
+    for (const log_field& field : fields) {
+        std::visit([&](const auto& value) { line[std::string(field.name())] = value; },
+                   field.value());
+    }
+    if (const std::uint64_t dropped = budget.take_dropped(); dropped > 0) {
+        line["lines_dropped_before"] = dropped;
+    }
+    constexpr auto replace = nlohmann::ordered_json::error_handler_t::replace;
+    std::string text = line.dump(-1, ' ', false, replace);
+    state()->m_logger.forcedLog(library_level(level), text);
+}
+
 } // namespace
 
 void init_logging(log_level lowest, std::string_view node)
@@ -91,19 +132,21 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (!state() || !state()->m_logger.isEnabledFor(library_level(level))) {
-        return;
+    if (is_written(level)) {
+        write_line(level, event, fields);
     }
-    nlohmann::ordered_json line = {{"time", timestamp()},
-                                   {"level", level_name(level)},
-                                   {"node", state()->m_node},
-                                   {"event", event}};
-    for (const log_field& field : fields) {
-        std::visit([&](const auto& value) { line[std::string(field.name())] = value; },
-                   field.value());
+}
+
+void log_request(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (is_written(level) && state()->m_request_lines.take(clock_type::now())) {
+        write_line(level, event, fields);
     }
-    constexpr auto replace = nlohmann::ordered_json::error_handler_t::replace;
-    state()->m_logger.forcedLog(library_level(level), line.dump(-1, ' ', false, replace));
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return state() ? state()->m_request_lines.dropped_in_all() : 0;
 }
 
 } // namespace pomelohead
--- a/pomelohead/telemetry/log.h
+++ b/pomelohead/telemetry/log.h
@@ -58,8 +58,15 @@
 /// before it, nothing is written.
 void init_logging(log_level lowest, std::string_view node);
 
-/// Writes one line. `event` is a fixed lower_case word that tools can search for.
+/// Writes one line. `event` is a fixed lower_case word that tools can search for. A line is
+/// dropped and counted where the standard output takes no bytes now.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
+/// The same for a line about one request, within the node's line budget (line_budget.h).
+void log_request(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+/// Lines that were not written since the start.
+[[nodiscard]] std::uint64_t dropped_log_lines();
+
 } // namespace pomelohead
