--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -107,6 +107,7 @@
             BOOST_REQUIRE_MESSAGE(m_nodes.back()->start(why), why.m_text);
         }
         std::vector<std::string> members;
+        members.reserve(node_count);
         for (int node = 0; node < node_count; ++node) {
             members.push_back(address_of(node));
         }
