Whether a node relays is judged when it is asked

On a quiet store the only host with room answered 503, and all nodes went on to others and then to the store. Ruled out: a loop in the follower (calls are a second apart), declined nodes asked again. Change: the server judges by the state of its own choice at each call. Test: catalog_test, the only node that can relay is found on a quiet store. It has not been run against the state before.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -25,8 +25,8 @@
                       source::relay(options.m_incarnation),
                       feed_choice(options.m_address, true)},
       m_relay_server(io, {options.m_address, options.m_relay_port},
-                     {m_configuration.m_relay, options.m_relays_configuration},
-                     {m_registrations.m_relay, true})
+                     {m_configuration.m_relay, m_configuration.m_feeds},
+                     {m_registrations.m_relay, m_registrations.m_feeds})
 {
     open_stores(open);
     const std::uint64_t seed = options.m_incarnation;
@@ -92,12 +92,10 @@
     tell_relay(part);
 }
 
-// Only who hears from the store itself may tell others: news goes one hop.
 void catalog::tell_relay(followed_part& part)
 {
     const source::follower_status& status = part.m_follower->status();
-    part.m_relay.heard(status.m_up && status.m_listed && part.m_feeds.is_relay(m_timers.now()),
-                       status.m_revision);
+    part.m_relay.heard(status.m_up && status.m_listed, status.m_revision);
 }
 
 bool catalog::start(reason& why)
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -87,7 +87,9 @@
 }
 
 struct domain {
-    explicit domain(boost::asio::io_context& io) : m_timers(io), m_store(m_timers)
+    // `able`: the only node that can relay the configuration; none: all can.
+    explicit domain(boost::asio::io_context& io, std::optional<int> able = std::nullopt)
+        : m_timers(io), m_store(m_timers)
     {
         m_store.put("configuration", "1");
         for (int node = 0; node < node_count; ++node) {
@@ -98,6 +100,7 @@
             options.m_address = address_of(node);
             options.m_relay_port = relay_port;
             options.m_failure_domain = "bala";
+            options.m_relays_configuration = !able || *able == node;
             options.m_incarnation = 1'000U + static_cast<unsigned>(node);
             const auto open = [this, node](source::store_part) {
                 return std::make_unique<store_link>(m_store, m_is_cut.at(node));
@@ -248,4 +251,22 @@
     });
 }
 
+// On a quiet store too, whichever node it is, all find the one that can relay.
+BOOST_AUTO_TEST_CASE(the_only_node_that_can_relay_is_found)
+{
+    for (int able = 0; able < node_count; ++able) {
+        testing::run_in_fiber([able](boost::asio::io_context& io) {
+            domain d(io, able);
+            BOOST_TEST(d.all_get("target-0"));
+            sleep_for(1'500ms); // a direct watch of 1 s has ended
+            const std::size_t before = d.m_store.calls();
+            sleep_for(3s);
+            // The configuration's relay and the registrations' make a call a second each.
+            BOOST_TEST(d.m_store.calls() - before <= 2 * 4U);
+            d.m_store.put("new", "10.9.0.1");
+            BOOST_TEST(d.all_get("new"));
+        });
+    }
+}
+
 } // namespace pomelohead::discovery
--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -63,7 +63,7 @@
     exchange.respond(std::move(head), body, clock_type::now() + answer_limit, why);
 }
 
-void relay_server::wait_for_change(forwarding::server_exchange& exchange, const source::relay& news,
+void relay_server::wait_for_change(forwarding::server_exchange& exchange, const served_part& part,
                                    std::uint64_t cursor, duration limit)
 {
     const time_point end = clock_type::now() + limit;
@@ -74,7 +74,7 @@
         gone = true;
         changed.set();
     });
-    while (!gone && may_serve(news) && news.cursor() == cursor) {
+    while (!gone && may_serve(part) && part.m_news.cursor() == cursor) {
         changed.reset();
         if (!changed.wait_for(std::max<duration>(end - clock_type::now(), {}))) {
             break;
@@ -92,21 +92,20 @@
         return answer(exchange, status_not_found, {});
     }
     const served_part& part = is_configuration ? m_configuration : m_registrations;
-    if (!part.m_is_relayed) {
+    if (!part.m_feeds.can_relay()) {
         return answer(exchange, status_declined, {});
     }
-    source::relay& news = part.m_news;
     const auto cursor = forwarding::parse_number(
         forwarding::query_parameter(target, "cursor").value_or(""), UINT64_MAX);
     const auto wait_ms = forwarding::parse_number(
         forwarding::query_parameter(target, "wait_ms").value_or(""), max_wait_ms);
     if (cursor && wait_ms) {
-        wait_for_change(exchange, news, *cursor, milliseconds(*wait_ms));
+        wait_for_change(exchange, part, *cursor, milliseconds(*wait_ms));
     }
-    if (!may_serve(news)) {
+    if (!may_serve(part)) {
         return answer(exchange, status_unavailable, {});
     }
-    const auto changes = news.after(cursor);
+    const auto changes = part.m_news.after(cursor);
     if (!changes) {
         return answer(exchange, status_gone, {});
     }
--- a/pomelohead/discovery/relay_server.h
+++ b/pomelohead/discovery/relay_server.h
@@ -7,6 +7,7 @@
 // this node relays no values of the part, 503 while it has not heard from the store itself.
 #pragma once
 
+#include "pomelohead/discovery/feed_choice.h"
 #include "pomelohead/forwarding/http_server.h"
 #include "pomelohead/source/relay.h"
 
@@ -20,7 +21,7 @@
 /// What is served of one part.
 struct served_part {
     source::relay& m_news;
-    bool m_is_relayed = true; ///< false: others are told to ask elsewhere
+    const feed_choice& m_feeds; ///< who relays the part
 };
 
 class relay_server {
@@ -40,11 +41,12 @@
 private:
     void serve(forwarding::server_exchange& exchange);
     void answer(forwarding::server_exchange& exchange, unsigned status, const std::string& body);
-    void wait_for_change(forwarding::server_exchange& exchange, const source::relay& news,
+    void wait_for_change(forwarding::server_exchange& exchange, const served_part& part,
                          std::uint64_t cursor, duration limit);
-    [[nodiscard]] bool may_serve(const source::relay& news) const
+    /// Only who hears from the store itself may tell others: news goes one hop.
+    [[nodiscard]] bool may_serve(const served_part& part) const
     {
-        return news.in_touch() && !m_leaving;
+        return !m_leaving && part.m_news.in_touch() && part.m_feeds.is_relay(clock_type::now());
     }
     void wake_all();
 
