The store is watched only briefly while a relay may be found

The same held after a relay had failed. Ruled out: relays that decline (none was asked). Test: feed_choice_test, how long a choice is settled.

--- a/pomelohead/discovery/feed_choice.cc
+++ b/pomelohead/discovery/feed_choice.cc
@@ -49,6 +49,21 @@
     return std::nullopt;
 }
 
+std::optional<duration> feed_choice::settled_for(time_point now) const
+{
+    if (m_ranked.empty() || choose(now)) {
+        return duration::zero();
+    }
+    // Nodes that declined hardly change their minds: they are no reason to look again soon.
+    std::optional<duration> first;
+    for (const auto& [relay, entry] : m_pauses) {
+        if (entry.m_failures > 0 && (!first || entry.m_until - now < *first)) {
+            first = entry.m_until - now;
+        }
+    }
+    return first;
+}
+
 bool feed_choice::is_relay(time_point now) const
 {
     return m_can_relay && !choose(now) && std::ranges::find(m_ranked, m_self) != m_ranked.end();
--- a/pomelohead/discovery/feed_choice.h
+++ b/pomelohead/discovery/feed_choice.h
@@ -49,6 +49,10 @@
     /// The relay to ask now; nothing: the store.
     [[nodiscard]] std::optional<std::string> choose(time_point now) const;
 
+    /// How long choose() stays as it is, unless a call or the members change it; nothing: for
+    /// good. Zero where there is a relay to ask, or the members are not known yet.
+    [[nodiscard]] std::optional<duration> settled_for(time_point now) const;
+
     /// Whether this node is the one that others follow.
     [[nodiscard]] bool is_relay(time_point now) const;
 
--- a/pomelohead/discovery/feed_choice_test.cc
+++ b/pomelohead/discovery/feed_choice_test.cc
@@ -121,4 +121,19 @@
     BOOST_TEST((feeds.choose(start_time) == second));
 }
 
+// A node that watches the store must turn to a relay soon after there is one.
+BOOST_AUTO_TEST_CASE(a_choice_is_settled_until_a_failed_relay_may_be_back)
+{
+    feed_choice feeds("10.1.0.99", true);
+    BOOST_TEST((feeds.settled_for(start_time) == duration::zero())); // no members are known
+    feeds.set_members(addresses(2));
+    BOOST_TEST((feeds.settled_for(start_time) == duration::zero()));
+    feeds.declined("10.1.0.1", start_time);
+    BOOST_TEST((feeds.settled_for(start_time) == duration::zero()));
+    feeds.failed("10.1.0.2", start_time + 1s);
+    BOOST_TEST((feeds.settled_for(start_time + 2s) == feed_choice::first_pause - 1s));
+    feeds.declined("10.1.0.2", start_time + 2s);
+    BOOST_TEST(!feeds.settled_for(start_time + 3s));
+}
+
 } // namespace pomelohead::discovery
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -175,6 +175,21 @@
               {{"path", m_path}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
 }
 
+// How long the store may be watched before a relay is looked for again.
+milliseconds relayed_store::direct_wait(milliseconds asked) const
+{
+    const time_point now = clock_type::now();
+    if (m_feeds.is_relay(now)) {
+        return std::min(asked, relay_watch_wait);
+    }
+    const auto settled = m_feeds.settled_for(now);
+    if (!settled) {
+        return asked;
+    }
+    const auto wait = std::chrono::ceil<milliseconds>(*settled);
+    return std::min(asked, std::max(wait, relay_watch_wait));
+}
+
 store_answer relayed_store::watch(const source::watch_request& request)
 {
     store_answer forgotten;
@@ -184,12 +199,7 @@
         return forgotten;
     }
     if (!relay) {
-        source::watch_request direct = request;
-        const time_point now = clock_type::now();
-        if (m_feeds.is_relay(now) || m_feeds.choose(now)) {
-            direct.m_wait = std::min(direct.m_wait, relay_watch_wait);
-        }
-        return from_store(m_direct->watch(direct));
+        return from_store(m_direct->watch({request.m_after, direct_wait(request.m_wait)}));
     }
     store_answer news = ask(*relay,
                             "?cursor=" + std::to_string(m_cursor) +
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -33,6 +33,7 @@
                                            const std::string& relay, const std::string& query,
                                            duration limit);
     [[nodiscard]] std::optional<std::string> find_relay();
+    [[nodiscard]] milliseconds direct_wait(milliseconds asked) const;
     [[nodiscard]] source::store_answer from_store(source::store_answer answer);
     void log_failure(const reason& why) const;
     void use(const std::optional<std::string>& relay);
