A relay is behind only by changes of its own part

They compared the store's one revision, which registrations move on, with that of the relay's latest change of the configuration. Ruled out: relays that decline or have lost the store (a few of 89 changes of feed). Change: a relay tells the revision of the newest change of its part, and a node compares it with the newest change of that part that it has heard of. Tests: relay_test; in catalog_test the store's revision moves on before nodes are counted.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -95,7 +95,7 @@
 void catalog::tell_relay(followed_part& part)
 {
     const source::follower_status& status = part.m_follower->status();
-    part.m_relay.heard(status.m_up && status.m_listed, status.m_revision);
+    part.m_relay.set_in_touch(status.m_up && status.m_listed);
 }
 
 bool catalog::start(reason& why)
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -258,7 +258,9 @@
         testing::run_in_fiber([able](boost::asio::io_context& io) {
             domain d(io, able);
             BOOST_TEST(d.all_get("target-0"));
-            sleep_for(1'500ms); // a direct watch of 1 s has ended
+            sleep_for(1'500ms);                     // a direct watch of 1 s has ended
+            d.m_store.put("elsewhere", "10.9.0.2"); // the store's revision moves on
+            sleep_for(300ms);
             const std::size_t before = d.m_store.calls();
             sleep_for(3s);
             // The configuration's relay and the registrations' make a call a second each.
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -130,7 +130,9 @@
 
 store_answer relayed_store::from_store(store_answer answer)
 {
-    m_heard = std::max(m_heard, answer.m_revision);
+    for (const source::key_change& change : answer.m_items) {
+        m_heard = std::max(m_heard, change.m_revision);
+    }
     return answer;
 }
 
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -50,7 +50,7 @@
     // A call that a later one has overtaken must not move the cursor.
     std::uint64_t m_latest_call = 0;
     std::uint64_t m_cursor = 0; ///< of m_relay
-    std::uint64_t m_heard = 0;  ///< the highest revision of any feed
+    std::uint64_t m_heard = 0;  ///< of the newest change of the part, from any feed
     bool m_cancelled = false;
 };
 
--- a/pomelohead/source/relay.cc
+++ b/pomelohead/source/relay.cc
@@ -15,6 +15,7 @@
     item& held = m_items[change.m_key];
     m_removed -= held.m_removed ? 1 : 0;
     held = {change.m_revision, ++m_cursor, false, *change.m_value, std::nullopt};
+    m_revision = std::max(m_revision, change.m_revision);
     m_on_change();
 }
 
@@ -25,6 +26,7 @@
         return;
     }
     it->second = {std::max(revision, it->second.m_revision), ++m_cursor, true, {}, std::nullopt};
+    m_revision = std::max(m_revision, it->second.m_revision);
     ++m_removed;
     forget_old_removals();
     m_on_change();
@@ -46,9 +48,8 @@
     }
 }
 
-void relay::heard(bool in_touch, std::uint64_t revision)
+void relay::set_in_touch(bool in_touch)
 {
-    m_revision = std::max(m_revision, revision);
     if (std::exchange(m_in_touch, in_touch) != in_touch) {
         m_on_change();
     }
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -32,7 +32,7 @@
 /// All that changed between two cursors.
 struct relayed_changes {
     std::uint64_t m_cursor = 0;
-    std::uint64_t m_revision = 0; ///< the store's, up to which the relay has heard
+    std::uint64_t m_revision = 0; ///< of the newest change of the part that the relay knows
     std::vector<relayed_item> m_items;
 
     bool operator==(const relayed_changes&) const = default;
@@ -49,8 +49,8 @@
     void put(const key_change& change);
     void remove(const std::string& key, std::uint64_t revision);
 
-    /// Whether the node itself is in touch with the store, and up to which revision.
-    void heard(bool in_touch, std::uint64_t revision);
+    /// Whether the node itself is in touch with the store.
+    void set_in_touch(bool in_touch);
     [[nodiscard]] bool in_touch() const { return m_in_touch; }
 
     [[nodiscard]] std::uint64_t cursor() const { return m_cursor; }
