--- a/pomelohead/source/relay_test.cc
+++ b/pomelohead/source/relay_test.cc
@@ -89,13 +89,13 @@
 {
     relay news(1'000);
     for (int i = 0; i < 2'000; ++i) {
-        news.put({"k" + std::to_string(i), static_cast<std::uint64_t>(i + 1), "1"});
+        news.put({"k" + std::to_string(i), static_cast<std::uint64_t>(i) + 1, "1"});
     }
     const std::uint64_t cursor = news.cursor();
     view known;
     take(*news.after(std::nullopt), known);
     for (int i = 0; i < 1'000; ++i) {
-        news.remove("k" + std::to_string(i), static_cast<std::uint64_t>(3'000 + i));
+        news.remove("k" + std::to_string(i), 3'000 + static_cast<std::uint64_t>(i));
         const auto changes = news.after(cursor);
         BOOST_TEST((!changes || changes->m_items.size() == static_cast<std::size_t>(i) + 1));
     }
