--- a/pomelohead/node/node_options_test.cc
+++ b/pomelohead/node/node_options_test.cc
@@ -29,7 +29,7 @@
     struct host_case {
         std::optional<double> m_mbps;
         std::optional<double> m_cores;
-        bool m_relays;
+        bool m_relays = false;
     };
     const host_case cases[] = {{{}, {}, true},      {7.7, 0.1, false},  {140.0, 0.5, true},
                                {140.0, 0.1, false}, {20.0, 0.5, false}, {1000.0, 0.2, true}};
