--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -119,13 +119,22 @@
 
 // Two targets cannot run at one address, but the registration of an ended target may outlive it.
 // Of two registrations with unknown start times neither supersedes the other.
-bool snapshot_builder::is_superseded(const instance& item) const
+std::vector<const instance*> snapshot_builder::current_instances() const
 {
-    return std::ranges::any_of(m_instances, [&item](const auto& entry) {
-        const instance& other = entry.second;
-        return other.m_host == item.m_host && other.m_port == item.m_port &&
-               other.m_started_ms > item.m_started_ms && item.m_started_ms > 0;
-    });
+    std::map<std::pair<std::string_view, std::uint16_t>, std::int64_t> latest_start;
+    for (const auto& [key, item] : m_instances) {
+        std::int64_t& start = latest_start[{item.m_host, item.m_port}];
+        start = std::max(start, item.m_started_ms);
+    }
+    std::vector<const instance*> current;
+    for (const auto& [key, item] : m_instances) {
+        const bool is_superseded =
+            item.m_started_ms > 0 && item.m_started_ms < latest_start[{item.m_host, item.m_port}];
+        if (!is_superseded) {
+            current.push_back(&item);
+        }
+    }
+    return current;
 }
 
 std::vector<std::string> snapshot_builder::hosts_of(const std::string& failure_domain) const
@@ -143,10 +152,8 @@
 config::snapshot snapshot_builder::build_snapshot() const
 {
     config::snapshot snapshot = *m_configuration;
-    for (const auto& [key, item] : m_instances) {
-        if (is_superseded(item)) {
-            continue;
-        }
+    for (const instance* registered : current_instances()) {
+        const instance& item = *registered;
         const auto service_it = std::ranges::lower_bound(snapshot.m_services, item.m_service, {},
                                                          &config::service::m_name);
         if (service_it == snapshot.m_services.end() || service_it->m_name != item.m_service) {
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -70,7 +70,8 @@
     void apply_configuration(config::snapshot received, std::uint64_t revision);
     void apply_instance(const std::string& key, instance received);
     void reject(const std::string& key, reason why);
-    [[nodiscard]] bool is_superseded(const instance& item) const;
+    /// The registrations but for those of ended targets whose address another one has taken over.
+    [[nodiscard]] std::vector<const instance*> current_instances() const;
     [[nodiscard]] config::snapshot build_snapshot() const;
 
     decode_fn m_decode;
