--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -3,7 +3,18 @@
 #include "pomelohead/discovery/relayed_store.h"
 #include "pomelohead/telemetry/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace pomelohead::discovery {
+namespace {
+
+// How long a node that starts looks for others before it lists the store. When a whole fleet
+// starts at once its seeds need some tenths of a second to list the store themselves.
+constexpr duration find_members_limit = std::chrono::seconds(2);
+constexpr duration find_members_pause = std::chrono::milliseconds(100);
+
+} // namespace
 
 catalog::catalog(boost::asio::io_context& io, const catalog_options& options, timer_service& timers,
                  const open_part_fn& open, decode_fn decode)
@@ -18,15 +29,26 @@
                       {},
                       {},
                       source::relay(options.m_incarnation),
-                      relay_selector(options.m_address, options.m_relays_configuration)},
+                      relay_selector(options.m_address, options.m_is_preferred_relay
+                                                            ? relay_role::preferred
+                                                            : relay_role::none)},
       m_registrations{"registrations",
                       {},
                       {},
                       source::relay(options.m_incarnation),
-                      relay_selector(options.m_address, true)},
+                      relay_selector(options.m_address, options.m_is_preferred_relay
+                                                            ? relay_role::preferred
+                                                            : relay_role::fallback)},
       m_relay_server(io, {options.m_address, options.m_relay_port},
                      {m_configuration.m_relay, m_configuration.m_relay_selector},
-                     {m_registrations.m_relay, m_registrations.m_relay_selector})
+                     {m_registrations.m_relay, m_registrations.m_relay_selector},
+                     [this](const std::string& failure_domain) {
+                         return m_snapshot_builder.hosts_of(failure_domain);
+                     }),
+      m_seeds(io, options.m_seeds,
+              {options.m_address, options.m_failure_domain, options.m_relay_port,
+               options.m_is_preferred_relay},
+              options.m_incarnation)
 {
     open_stores(open);
     const std::uint64_t seed = options.m_incarnation;
@@ -40,7 +62,10 @@
 {
     const auto open_part = [&](followed_part& part, source::store_part which) {
         part.m_store = std::make_shared<relayed_store>(
-            m_io, open(which), which, part.m_relay_selector, m_options.m_relay_port);
+            m_io, open(which),
+            relayed_store_options{which, m_options.m_address, m_options.m_relay_port,
+                                  m_options.m_timing},
+            part.m_relay_selector);
     };
     open_part(m_configuration, source::store_part::configuration);
     open_part(m_registrations, source::store_part::registrations);
@@ -52,14 +77,16 @@
     source::follower_hooks hooks;
     hooks.m_list = [this, &part](const source::list_request& request,
                                  std::function<void(store_answer)> done) {
-        m_calls.spawn([store = part.m_store, request, done = std::move(done)] {
+        m_calls.spawn([this, &part, store = part.m_store, request, done = std::move(done)] {
             done(store->list(request));
+            update_relay_status(part);
         });
     };
     hooks.m_watch = [this, &part](const source::watch_request& request,
                                   std::function<void(store_answer)> done) {
-        m_calls.spawn([store = part.m_store, request, done = std::move(done)] {
+        m_calls.spawn([this, &part, store = part.m_store, request, done = std::move(done)] {
             done(store->watch(request));
+            update_relay_status(part);
         });
     };
     hooks.m_on_put = [this, &part](const source::key_change& change) {
@@ -70,32 +97,46 @@
         m_snapshot_builder.remove(key);
         part.m_relay.remove(key, part.m_follower->status().m_revision);
     };
-    hooks.m_on_answer_applied = [this, &part] { on_changes_applied(part); };
-    hooks.m_on_contact_lost = [this, &part](const reason& why) {
-        update_relay_status(part);
+    hooks.m_on_answer_applied = [this] { on_changes_applied(); };
+    hooks.m_on_contact_lost = [&part](const reason& why) {
         log_event(log_level::warning, "store_lost",
                   {{"part", part.m_name}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
     };
-    hooks.m_on_contact_regained = [this, &part] {
-        update_relay_status(part);
+    hooks.m_on_contact_regained = [&part] {
         log_event(log_level::info, "store_reached", {{"part", part.m_name}});
     };
     return hooks;
 }
 
-void catalog::on_changes_applied(followed_part& part)
+void catalog::on_changes_applied()
 {
     m_snapshot_builder.publish();
     const std::vector<std::string> hosts = m_snapshot_builder.hosts_of(m_options.m_failure_domain);
-    m_configuration.m_relay_selector.set_members(hosts);
-    m_registrations.m_relay_selector.set_members(hosts);
-    update_relay_status(part);
+    if (!hosts.empty()) {
+        set_members(hosts);
+    }
+    m_relay_server.members_changed();
+}
+
+void catalog::set_members(const std::vector<std::string>& addresses)
+{
+    m_configuration.m_relay_selector.set_members(addresses);
+    m_registrations.m_relay_selector.set_members(addresses);
 }
 
 void catalog::update_relay_status(followed_part& part)
 {
     const source::follower_status& status = part.m_follower->status();
-    part.m_relay.set_has_store_contact(status.m_up && status.m_listed);
+    if (!status.m_up || !status.m_listed) {
+        part.m_relay.set_feed(source::relay_feed::none);
+    }
+    else if (status.m_relayed) {
+        part.m_relay.set_feed(source::relay_feed::relays);
+    }
+    else {
+        part.m_relay.set_complete_revision(part.m_follower->complete_revision());
+        part.m_relay.set_feed(source::relay_feed::store);
+    }
 }
 
 bool catalog::start(reason& why)
@@ -103,9 +144,44 @@
     if (!m_relay_server.start(why)) {
         return false;
     }
+    if (!m_seeds.has_others()) {
+        follow();
+        return true;
+    }
+    m_calls.spawn([this] {
+        find_members();
+        if (!m_stopped) {
+            follow();
+        }
+    });
+    return true;
+}
+
+// Suspends the calling fiber until a seed has named members of the failure domain, or this node
+// has to list the store itself.
+void catalog::find_members()
+{
+    const time_point end = m_timers.now() + find_members_limit;
+    while (!m_stopped && m_timers.now() < end) {
+        if (const auto hints = m_seeds.ask()) {
+            set_members(hints->m_members);
+            m_configuration.m_relay_selector.add_relays(hints->m_relays);
+            m_registrations.m_relay_selector.add_relays(hints->m_relays);
+            return;
+        }
+        // Others that start at the same time wait for this node.
+        if (m_seeds.is_seed() || m_relay_server.was_asked_in_vain()) {
+            return;
+        }
+        sleep_for(find_members_pause);
+    }
+}
+
+void catalog::follow()
+{
+    m_is_following = true;
     m_configuration.m_follower->start();
     m_registrations.m_follower->start();
-    return true;
 }
 
 void catalog::on_snapshot(std::function<void(const config::snapshot_ptr&)> hook)
@@ -116,8 +192,15 @@
 void catalog::restart()
 {
     m_restarted_at = m_timers.now();
-    m_configuration.m_follower->restart();
-    m_registrations.m_follower->restart();
+    restart_followers();
+}
+
+void catalog::restart_followers()
+{
+    if (m_is_following) {
+        m_configuration.m_follower->restart();
+        m_registrations.m_follower->restart();
+    }
 }
 
 void catalog::use_store(const open_part_fn& open)
@@ -125,8 +208,7 @@
     m_configuration.m_store->cancel();
     m_registrations.m_store->cancel();
     open_stores(open);
-    m_configuration.m_follower->restart();
-    m_registrations.m_follower->restart();
+    restart_followers();
 }
 
 bool catalog::is_confirmed() const
@@ -141,6 +223,8 @@
 
 void catalog::stop()
 {
+    m_stopped = true;
+    m_seeds.cancel();
     for (followed_part* part : {&m_configuration, &m_registrations}) {
         part->m_follower->stop();
         part->m_store->cancel();
--- a/pomelohead/discovery/catalog.h
+++ b/pomelohead/discovery/catalog.h
@@ -9,6 +9,8 @@
 
 #include "pomelohead/discovery/relay_selector.h"
 #include "pomelohead/discovery/relay_server.h"
+#include "pomelohead/discovery/relay_timing.h"
+#include "pomelohead/discovery/seed_client.h"
 #include "pomelohead/discovery/snapshot_builder.h"
 #include "pomelohead/runtime/fiber.h"
 #include "pomelohead/source/store_follower.h"
@@ -26,9 +28,11 @@
     std::string m_address;
     std::uint16_t m_relay_port = 0; ///< the same on all nodes
     std::string m_failure_domain;
-    std::uint64_t m_incarnation = 0; ///< increases with each start on a host
+    std::uint64_t m_incarnation = 0;  ///< increases with each start on a host
+    std::vector<std::string> m_seeds; ///< IP addresses of nodes to ask at the start
+    relay_timing m_timing;
     /// Whether this host can relay a configuration to its whole failure domain in time.
-    bool m_relays_configuration = true;
+    bool m_is_preferred_relay = true;
 };
 
 /// Opens a client for one part of the store.
@@ -45,7 +49,8 @@
     /// Sets the hook that is called with each new snapshot.
     void on_snapshot(std::function<void(const config::snapshot_ptr&)> hook);
 
-    /// Starts following the store. Returns false if the relay's port cannot be opened.
+    /// Asks the seeds for relays and starts following. Returns false if the relay's port cannot be
+    /// opened.
     bool start(reason& why);
 
     /// Lists all values again, for example after the process was frozen.
@@ -78,8 +83,12 @@
     };
 
     void open_stores(const open_part_fn& open);
+    void find_members();
+    void follow();
+    void set_members(const std::vector<std::string>& addresses);
     [[nodiscard]] source::follower_hooks make_hooks(followed_part& part);
-    void on_changes_applied(followed_part& part);
+    void restart_followers();
+    void on_changes_applied();
     void update_relay_status(followed_part& part);
 
     boost::asio::io_context& m_io;
@@ -90,6 +99,9 @@
     followed_part m_configuration;
     followed_part m_registrations;
     relay_server m_relay_server;
+    seed_client m_seeds;
+    bool m_is_following = false; ///< the followers have been started
+    bool m_stopped = false;
     std::optional<time_point> m_restarted_at;
     fiber_group m_calls;
 };
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -1,7 +1,9 @@
-// Tests three nodes of one failure domain with one store, over loopback: which nodes call the
+// Tests the nodes of one failure domain with one store, over loopback: which nodes call the
 // store, which receive changes, and what happens when the relay loses the store or leaves.
 #include "pomelohead/discovery/catalog.h"
 
+#include "pomelohead/source/relay_codec.h"
+
 #include "pomelohead/runtime/asio_timer_service.h"
 #include "testing/fake_store.h"
 #include "testing/fiber_program.h"
@@ -15,7 +17,7 @@
 using testing::store_mode;
 
 constexpr std::uint16_t relay_port = 7402;
-constexpr int node_count = 3;
+constexpr int node_count = 8;
 
 std::string address_of(int node)
 {
@@ -25,13 +27,14 @@
 // One node's connection to the shared store; can be disconnected.
 class store_connection final : public source::key_value_store {
 public:
-    store_connection(testing::fake_store& store, const bool& is_disconnected)
-        : m_store(store), m_is_disconnected(is_disconnected)
+    store_connection(testing::fake_store& store, const bool& is_disconnected, int& lists)
+        : m_store(store), m_is_disconnected(is_disconnected), m_lists(lists)
     {
     }
 
     source::store_answer list(const source::list_request& request) override
     {
+        ++m_lists;
         return call([&](const auto& done) { m_store.list(request, done); });
     }
     source::store_answer watch(const source::watch_request& request) override
@@ -67,6 +70,7 @@
 
     testing::fake_store& m_store;
     const bool& m_is_disconnected;
+    int& m_lists;
     bool m_cancelled = false;
     fiber_event m_ended;
 };
@@ -91,9 +95,11 @@
 }
 
 struct failure_domain_fixture {
-    // `capable_node` is the only node that can relay the configuration; nullopt: all can.
+    // `capable_node` is the only node that can relay the configuration; nullopt: all can. `seed` is
+    // the node that all ask when they start.
     explicit failure_domain_fixture(boost::asio::io_context& io,
-                                    std::optional<int> capable_node = std::nullopt)
+                                    std::optional<int> capable_node = std::nullopt,
+                                    std::optional<int> seed = std::nullopt)
         : m_timers(io), m_store(m_timers)
     {
         m_store.put("configuration", "1");
@@ -105,10 +111,15 @@
             options.m_address = address_of(node);
             options.m_relay_port = relay_port;
             options.m_failure_domain = "bala";
-            options.m_relays_configuration = !capable_node || *capable_node == node;
+            options.m_is_preferred_relay = !capable_node || *capable_node == node;
             options.m_incarnation = 1'000U + static_cast<unsigned>(node);
+            options.m_timing = make_relay_timing(4s); // relays watch the store once per second
+            if (seed) {
+                options.m_seeds = {"127.95.0.200", address_of(*seed)}; // the first one is down
+            }
             const auto open = [this, node](source::store_part) {
-                return std::make_unique<store_connection>(m_store, m_is_disconnected.at(node));
+                return std::make_unique<store_connection>(m_store, m_is_disconnected.at(node),
+                                                          m_lists.at(node));
             };
             m_nodes.push_back(std::make_unique<catalog>(io, options, m_timers, open, decode));
             reason why;
@@ -119,7 +130,7 @@
         for (int node = 0; node < node_count; ++node) {
             members.push_back(address_of(node));
         }
-        relay_selector selector("other", true);
+        relay_selector selector("other", relay_role::none);
         selector.set_members(members);
         while (address_of(m_relay) != *selector.choose(clock_type::now())) {
             ++m_relay;
@@ -158,6 +169,7 @@
     asio_timer_service m_timers;
     testing::fake_store m_store;
     std::array<bool, node_count> m_is_disconnected{};
+    std::array<int, node_count> m_lists{};
     std::vector<std::unique_ptr<catalog>> m_nodes;
     int m_relay = 0;
 };
@@ -277,4 +289,92 @@
     }
 }
 
+// A list of the store costs a call for each page. Whichever node is the seed, the number of nodes
+// that list it when all start does not grow with the failure domain.
+BOOST_AUTO_TEST_CASE(nodes_that_start_find_the_relay_through_a_seed)
+{
+    for (int seed = 0; seed < node_count; ++seed) {
+        testing::run_in_fiber([seed](boost::asio::io_context& io) {
+            const int relay = (seed + 1) % node_count;
+            failure_domain_fixture d(io, relay, seed);
+            BOOST_TEST(d.all_nodes_have("target-0"));
+            const auto listing = std::ranges::count_if(d.m_lists, [](int n) { return n > 0; });
+            BOOST_TEST(listing <= 3); // the seed, the relay, and the first node in the order
+        });
+    }
+}
+
+// The followers of a relay that stops continue from its last revision instead of listing.
+BOOST_AUTO_TEST_CASE(loss_of_the_relay_costs_no_list)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        failure_domain_fixture d(io, std::nullopt, 0);
+        BOOST_TEST(d.all_nodes_have("target-0"));
+        sleep_for(300ms);
+        const auto lists_before = d.m_lists;
+        d.m_nodes.at(d.m_relay)->leave();
+        d.m_store.erase("target-0");
+        d.m_store.put("new", "10.9.0.1");
+        BOOST_TEST(d.all_nodes_have("new"));
+        for (int node = 0; node < node_count; ++node) {
+            BOOST_TEST(!d.has_target(node, "target-0"));
+            BOOST_TEST(d.m_lists.at(node) == lists_before.at(node));
+        }
+    });
+}
+
+// A relay whose machine ends, or whose connections go silent, resets nothing: only the time that
+// its answer takes shows it.
+BOOST_AUTO_TEST_CASE(silent_relay_is_replaced_by_the_store)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        source::relay feed(1'000);
+        feed.put({"target-0", 11, address_of(0)}); // the revisions that the store gives below
+        feed.put({"configuration", 12, "1"});
+        feed.set_complete_revision(12);
+        fiber_event stopped;
+        forwarding::http_server silent(
+            io, {address_of(0), relay_port}, {}, [&](forwarding::server_exchange& exchange) {
+                if (exchange.request().head().target().find("known=") == std::string::npos) {
+                    stopped.wait();
+                }
+                forwarding::http::header<false> head;
+                head.result(200);
+                reason why;
+                exchange.respond(std::move(head), source::encode(feed.list(0)),
+                                 clock_type::now() + 1s, why);
+            });
+        reason why;
+        BOOST_REQUIRE(silent.start(why));
+        asio_timer_service timers(io);
+        testing::fake_store store(timers);
+        bool is_disconnected = false;
+        int lists = 0;
+        catalog_options options;
+        options.m_address = address_of(1);
+        options.m_relay_port = relay_port;
+        options.m_failure_domain = "bala";
+        options.m_is_preferred_relay = false;
+        options.m_timing = make_relay_timing(2s);
+        const auto open = [&](source::store_part) {
+            return std::make_unique<store_connection>(store, is_disconnected, lists);
+        };
+        catalog reader(io, options, timers, open, decode);
+        store.put("target-0", address_of(0));
+        store.put("configuration", "1");
+        BOOST_REQUIRE(reader.start(why));
+        sleep_for(1s); // until the reader follows the silent relay
+        store.put("configuration", "2");
+        for (int attempt = 0; attempt < 1'800 && reader.current()->m_version != 2; ++attempt) {
+            sleep_for(10ms);
+        }
+        BOOST_TEST(reader.current()->m_version == 2U);
+        reader.stop();
+        stopped.set();
+        silent.close_listener();
+        silent.abort();
+        silent.wait();
+    });
+}
+
 } // namespace pomelohead::discovery
--- a/pomelohead/discovery/relay_selector.h
+++ b/pomelohead/discovery/relay_selector.h
@@ -1,13 +1,14 @@
 // Selects from where a node receives the store's changes: from a relay node or from the store.
 //
 // The nodes of a failure domain whose hosts have registered targets are ordered by rendezvous
-// score. Each node follows the first of them that can relay; the node that is itself the first
-// one watches the store. A node whose link or CPU is too slow to relay the values declines. A
-// node that is unreachable or has lost the store is skipped with exponential backoff. If no relay
-// is left, a node calls the store. There is no consensus: with different member lists some
-// nodes make a few additional calls.
+// score. Each node follows the first of them that is known to be able to relay; if none is known,
+// it queries them in order until one relays. The node that is itself the first one watches the
+// store. Hosts whose link or CPU is slow relay nothing, or only where no other node is known to be
+// able to. A node that is unreachable or has lost the store is skipped with exponential backoff.
+// If no relay is left, a node calls the store. There is no consensus: with different member lists
+// some nodes make a few additional calls.
 //
-//     relay_selector selector("10.1.0.4", true);
+//     relay_selector selector("10.1.0.4", relay_role::preferred);
 //     selector.set_members({"10.1.0.4", "10.1.0.5"});
 //     if (const auto relay = selector.choose(now)) { query(*relay); } else { query_store(); }
 #pragma once
@@ -16,11 +17,19 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace pomelohead::discovery {
 
+/// What a node's host allows it to do for its failure domain.
+enum class relay_role {
+    none,
+    fallback, ///< relays where no preferred node is known
+    preferred,
+};
+
 /// Selects the relay that one node follows.
 class relay_selector {
 public:
@@ -28,23 +37,28 @@
     /// doubles with each consecutive failure.
     static constexpr milliseconds initial_backoff{3'000};
     static constexpr milliseconds max_backoff{60'000};
+    /// How long a node is skipped that can relay but has no contact with the store yet.
+    static constexpr milliseconds not_ready_backoff{500};
 
-    relay_selector(std::string self, bool can_relay)
-        : m_self(std::move(self)), m_can_relay(can_relay)
-    {
-    }
+    relay_selector(std::string self, relay_role role) : m_self(std::move(self)), m_role(role) {}
 
     /// Sets the addresses of the failure domain's nodes whose hosts have registered targets. They
     /// include this node only if its own host has one.
     void set_members(std::vector<std::string> addresses);
 
+    /// Adds nodes, of any failure domain, that are known to be preferred relays.
+    void add_relays(const std::vector<std::string>& addresses);
+
     /// Records a valid response of a relay.
     void record_success(const std::string& relay) { m_backoffs.erase(relay); }
 
     /// Records that a relay did not respond, or has lost the store.
     void record_failure(const std::string& relay, time_point now);
 
-    /// Records that a node declined to relay.
+    /// Records that a preferred relay does not relay at the moment.
+    void record_not_ready(const std::string& relay, time_point now);
+
+    /// Records that a node is no preferred relay, and does not relay.
     void record_decline(const std::string& relay, time_point now);
 
     /// Returns the relay to query now, or nullopt for the store.
@@ -58,7 +72,13 @@
     /// Returns whether this node is the relay that other nodes should follow.
     [[nodiscard]] bool is_relay(time_point now) const;
 
-    [[nodiscard]] bool can_relay() const { return m_can_relay; }
+    [[nodiscard]] relay_role role() const { return m_role; }
+
+    /// Returns the preferred relays of the failure domain in order, including this node.
+    [[nodiscard]] std::vector<std::string> relays() const;
+
+    /// Returns the preferred relays of all failure domains, including this node.
+    [[nodiscard]] std::vector<std::string> all_relays() const;
 
 private:
     struct backoff {
@@ -67,10 +87,14 @@
     };
 
     [[nodiscard]] bool is_backing_off(const std::string& relay, time_point now) const;
+    [[nodiscard]] bool is_preferred(const std::string& address) const;
+    [[nodiscard]] bool may_relay(bool others_preferred) const;
+    [[nodiscard]] bool knows_other_relay() const;
 
     std::string m_self;
-    bool m_can_relay;
+    relay_role m_role;
     std::vector<std::string> m_ranked;
+    std::set<std::string> m_relays; ///< preferred ones, without this node
     std::map<std::string, backoff> m_backoffs;
 };
 
--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -14,6 +14,18 @@
 constexpr duration answer_timeout = std::chrono::seconds(2);
 constexpr std::uint64_t max_wait_ms = 60'000;
 
+std::optional<std::uint64_t> number_parameter(const std::string& target, std::string_view name,
+                                              std::uint64_t max_value)
+{
+    return forwarding::parse_number(forwarding::query_parameter(target, name).value_or(""),
+                                    max_value);
+}
+
+duration wait_parameter(const std::string& target)
+{
+    return milliseconds(number_parameter(target, "wait_ms", max_wait_ms).value_or(0));
+}
+
 } // namespace
 
 std::string relay_path(source::store_part part)
@@ -23,8 +35,9 @@
 }
 
 relay_server::relay_server(boost::asio::io_context& io, const forwarding::endpoint& local_endpoint,
-                           const served_part& configuration, const served_part& registrations)
-    : m_configuration(configuration), m_registrations(registrations),
+                           const served_part& configuration, const served_part& registrations,
+                           members_fn members)
+    : m_configuration(configuration), m_registrations(registrations), m_members(std::move(members)),
       m_server(io, local_endpoint, {}, [this](forwarding::server_exchange& e) { serve(e); })
 {
     m_configuration.m_relay.m_on_change = [this] { wake_waiters(); };
@@ -63,8 +76,8 @@
     exchange.respond(std::move(head), body, clock_type::now() + answer_timeout, why);
 }
 
-void relay_server::wait_for_change(forwarding::server_exchange& exchange, const served_part& part,
-                                   std::uint64_t cursor, duration limit)
+void relay_server::wait_until(forwarding::server_exchange& exchange, duration limit,
+                              const std::function<bool()>& is_done)
 {
     const time_point end = clock_type::now() + limit;
     fiber_event changed;
@@ -74,7 +87,7 @@
         client_disconnected = true;
         changed.set();
     });
-    while (!client_disconnected && can_serve(part) && part.m_relay.cursor() == cursor) {
+    while (!client_disconnected && !m_is_leaving && !is_done()) {
         changed.reset();
         if (!changed.wait_for(std::max<duration>(end - clock_type::now(), {}))) {
             break;
@@ -87,28 +100,77 @@
 {
     const std::string target(exchange.request().head().target());
     const std::string path = target.substr(0, target.find('?'));
-    const bool is_configuration = path == relay_path(source::store_part::configuration);
-    if (!is_configuration && path != relay_path(source::store_part::registrations)) {
-        return answer(exchange, status_not_found, {});
+    const auto relay = forwarding::query_parameter(target, "relay");
+    boost::system::error_code error;
+    if (relay && (boost::asio::ip::make_address(*relay, error), !error)) {
+        m_configuration.m_relay_selector.add_relays({*relay});
+        m_registrations.m_relay_selector.add_relays({*relay});
+    }
+    if (path == members_path) {
+        serve_members(exchange, target);
+    }
+    else if (path == relay_path(source::store_part::configuration)) {
+        serve_part(exchange, target, m_configuration);
+    }
+    else if (path == relay_path(source::store_part::registrations)) {
+        serve_part(exchange, target, m_registrations);
+    }
+    else {
+        answer(exchange, status_not_found, {});
+    }
+}
+
+void relay_server::serve_members(forwarding::server_exchange& exchange, const std::string& target)
+{
+    const std::string domain = forwarding::query_parameter(target, "domain").value_or("");
+    if (m_members(domain).empty()) {
+        m_was_asked_in_vain = true;
+        wait_until(exchange, wait_parameter(target), [&] { return !m_members(domain).empty(); });
+    }
+    const referral hints{m_members(domain), m_registrations.m_relay_selector.all_relays()};
+    answer(exchange, hints.m_members.empty() ? status_unavailable : status_ok, encode(hints));
+}
+
+void relay_server::serve_part(forwarding::server_exchange& exchange, const std::string& target,
+                              const served_part& part)
+{
+    const auto refer = [&](unsigned status) {
+        referral hints{{}, part.m_relay_selector.relays()};
+        const auto followed = part.m_relay_selector.choose(clock_type::now());
+        if (followed && part.m_relay.feed() == source::relay_feed::relays) {
+            hints.m_relays.push_back(*followed);
+        }
+        answer(exchange, status, encode(hints));
+    };
+    if (part.m_relay_selector.role() == relay_role::none) {
+        return refer(status_declined);
     }
-    const served_part& part = is_configuration ? m_configuration : m_registrations;
-    if (!part.m_relay_selector.can_relay()) {
-        return answer(exchange, status_declined, {});
+    const auto cursor = number_parameter(target, "cursor", UINT64_MAX);
+    if (cursor) {
+        wait_until(exchange, wait_parameter(target),
+                   [&] { return !can_serve(part) || part.m_relay.cursor() != *cursor; });
     }
-    const auto cursor = forwarding::parse_number(
-        forwarding::query_parameter(target, "cursor").value_or(""), UINT64_MAX);
-    const auto wait_ms = forwarding::parse_number(
-        forwarding::query_parameter(target, "wait_ms").value_or(""), max_wait_ms);
-    if (cursor && wait_ms) {
-        wait_for_change(exchange, part, *cursor, milliseconds(*wait_ms));
+    else {
+        // While this node looks for a relay or reads the store it may turn out to be the relay, and
+        // also if the relay that it follows has just failed its follower.
+        const auto failed = forwarding::query_parameter(target, "failed");
+        wait_until(exchange, wait_parameter(target), [&] {
+            const auto own_relay = part.m_relay_selector.choose(clock_type::now());
+            return can_serve(part) || (part.m_relay.feed() == source::relay_feed::relays &&
+                                       own_relay && own_relay != failed);
+        });
     }
     if (!can_serve(part)) {
-        return answer(exchange, status_unavailable, {});
+        const bool is_preferred = part.m_relay_selector.role() == relay_role::preferred;
+        return refer(is_preferred ? status_unavailable : status_declined);
     }
-    const auto changes = part.m_relay.changes_after(cursor);
+    auto changes =
+        cursor ? part.m_relay.changes_after(*cursor)
+               : part.m_relay.list(number_parameter(target, "known", UINT64_MAX).value_or(0));
     if (!changes) {
         return answer(exchange, status_gone, {});
     }
+    changes->m_relays = part.m_relay_selector.relays();
     answer(exchange, status_ok, source::encode(*changes));
 }
 
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -1,5 +1,6 @@
 #include "pomelohead/discovery/relayed_store.h"
 
+#include "pomelohead/discovery/referral.h"
 #include "pomelohead/discovery/relay_server.h"
 #include "pomelohead/source/relay_codec.h"
 #include "pomelohead/telemetry/log.h"
@@ -10,34 +11,23 @@
 using source::store_answer;
 using source::store_status;
 
-// A relay is in the same failure domain. Transferring a packed configuration over a slow host's
-// link takes some tenths of a second.
+// A relay is in the same failure domain.
 constexpr duration connect_timeout = std::chrono::milliseconds(200);
-constexpr duration answer_timeout = std::chrono::milliseconds(1'000);
-// Time limit for finding a relay before the store itself is watched. Nodes that decline do so
-// within milliseconds unless they are overloaded.
-constexpr duration probe_timeout = std::chrono::milliseconds(100);
-// Upper bound of a relay's watch on the store: a relay that has lost the store must detect it
-// within the time in which a change has to be in force. It also bounds the watch of a node that
-// is still looking for a relay.
-constexpr milliseconds relay_watch_wait{1'000};
+// How long a node that has nothing yet waits for a relay that is reading the store.
+constexpr duration first_list_limit = std::chrono::milliseconds(1'500);
 constexpr std::size_t idle_connections = 1;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_declined = 409;
 constexpr unsigned status_gone = 410;
-
-store_answer failure(reason why)
-{
-    store_answer answer;
-    answer.m_why = std::move(why);
-    return answer;
-}
+constexpr unsigned status_unavailable = 503;
 
 std::optional<store_answer> to_store_answer(const source::relayed_changes& changes, reason& why)
 {
     store_answer answer;
     answer.m_status = store_status::ok;
-    answer.m_revision = changes.m_revision;
+    answer.m_revision =
+        changes.m_complete_revision != 0 ? changes.m_complete_revision : changes.m_revision;
+    answer.m_unchanged = changes.m_unchanged;
     answer.m_relayed = true;
     for (const source::relayed_item& item : changes.m_items) {
         source::key_change change{item.m_key, item.m_revision, std::nullopt};
@@ -52,17 +42,30 @@
     return answer;
 }
 
+std::int64_t whole_ms(duration d)
+{
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 } // namespace
 
 relayed_store::relayed_store(boost::asio::io_context& io,
                              std::unique_ptr<source::key_value_store> direct,
-                             source::store_part part, relay_selector& selector, std::uint16_t port)
-    : m_io(io), m_direct(std::move(direct)), m_path(relay_path(part)), m_relay_selector(selector),
-      m_port(port)
+                             relayed_store_options options, relay_selector& selector)
+    : m_io(io), m_direct(std::move(direct)), m_options(std::move(options)),
+      m_path(relay_path(m_options.m_part)), m_relay_selector(selector)
+{
+}
+
+relayed_store::pool_ptr relayed_store::pool_of(const std::string& relay) const
 {
+    return relay == m_relay ? m_pool
+                            : std::make_shared<forwarding::connection_pool>(
+                                  m_io, forwarding::endpoint{relay, m_options.m_relay_port},
+                                  idle_connections, connect_timeout);
 }
 
-void relayed_store::switch_to(const std::optional<std::string>& relay)
+void relayed_store::switch_to(const std::optional<std::string>& relay, pool_ptr pool)
 {
     if (m_relay == relay) {
         return;
@@ -70,70 +73,123 @@
     log_event(log_level::info, "feed_chosen",
               {{"path", m_path}, {"from", relay.value_or("store")}});
     m_relay = relay;
-    m_pool.reset();
-    if (relay) {
-        m_pool = std::make_shared<forwarding::connection_pool>(
-            m_io, forwarding::endpoint{*relay, m_port}, idle_connections, connect_timeout);
-    }
+    m_pool = std::move(pool);
 }
 
-store_answer relayed_store::query_relay(const std::string& relay, const std::string& query,
-                                        duration limit)
+store_answer relayed_store::failure(const std::string& relay, const reason& why) const
 {
-    const auto pool = m_pool; // a concurrent call may replace m_pool
-    return query_relay(*pool, relay, query, limit);
+    log_event(
+        log_level::info, "relay_failed",
+        {{"path", m_path}, {"relay", relay}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
+    store_answer answer;
+    answer.m_why = why;
+    return answer;
 }
 
-store_answer relayed_store::query_relay(forwarding::connection_pool& pool, const std::string& relay,
-                                        const std::string& query, duration limit)
+store_answer relayed_store::query(forwarding::connection_pool& pool, const std::string& relay,
+                                  const std::string& query, duration limit)
 {
     const std::uint64_t call = ++m_latest_call;
+    std::string path = m_path + query;
+    if (m_relay_selector.role() == relay_role::preferred) {
+        path += "&relay=" + m_options.m_address;
+    }
     reason why{reason_code::cancelled, "the client is closed"};
-    const auto response = m_cancelled
-                              ? std::nullopt
-                              : forwarding::http_get(pool, relay, m_path + query,
-                                                     {.m_deadline = clock_type::now() + limit,
-                                                      .m_max_bytes = source::max_unpacked_bytes},
-                                                     m_in_flight, why);
+    const auto response =
+        m_cancelled ? std::nullopt
+                    : forwarding::http_get(pool, relay, path,
+                                           {.m_deadline = clock_type::now() + limit,
+                                            .m_piece_timeout = m_options.m_timing.m_answer_slack,
+                                            .m_max_bytes = source::max_unpacked_bytes},
+                                           m_in_flight, why);
     if (!response) {
         m_relay_selector.record_failure(relay, clock_type::now());
-        return failure(std::move(why));
+        return failure(relay, why);
     }
-    if (response->m_status == status_gone) {
+    return convert(relay, call, *response);
+}
+
+store_answer relayed_store::convert(const std::string& relay, std::uint64_t call,
+                                    const forwarding::full_response& response)
+{
+    const time_point now = clock_type::now();
+    reason why;
+    if (response.m_status == status_gone) {
         store_answer expired;
         expired.m_status = store_status::history_lost;
         return expired;
     }
-    if (response->m_status == status_declined) {
-        m_relay_selector.record_decline(relay, clock_type::now());
-        return failure({reason_code::refused, "the node " + relay + " declined to relay"});
+    if (response.m_status == status_declined || response.m_status == status_unavailable) {
+        const auto hints = decode_referral(response.m_body, why);
+        if (hints) {
+            m_relay_selector.add_relays(hints->m_relays);
+        }
+        if (response.m_status == status_declined) {
+            m_relay_selector.record_decline(relay, now);
+            return failure(relay, {reason_code::refused, "the node does not relay"});
+        }
+        m_relay_selector.add_relays({relay});
+        m_relay_selector.record_not_ready(relay, now);
+        return failure(relay, {reason_code::refused, "the node is not the relay at present"});
     }
-    if (response->m_status != status_ok) {
-        m_relay_selector.record_failure(relay, clock_type::now());
-        return failure({reason_code::refused,
-                        "the relay " + relay + " answered " + std::to_string(response->m_status)});
+    if (response.m_status != status_ok) {
+        m_relay_selector.record_failure(relay, now);
+        return failure(relay, {reason_code::refused,
+                               "the relay answered " + std::to_string(response.m_status)});
     }
-    const auto changes = source::decode_changes(response->m_body, why);
+    const auto changes = source::decode_changes(response.m_body, why);
     if (changes && changes->m_revision < m_newest_revision) {
-        why = {reason_code::stale, "the relay " + relay + " is behind"};
+        why = {reason_code::stale, "the relay is behind"};
     }
     auto answer = changes && changes->m_revision >= m_newest_revision
                       ? to_store_answer(*changes, why)
                       : std::nullopt;
     if (!answer) {
-        m_relay_selector.record_failure(relay, clock_type::now());
-        return failure(std::move(why));
+        m_relay_selector.record_failure(relay, now);
+        return failure(relay, why);
     }
     m_relay_selector.record_success(relay);
+    m_relay_selector.add_relays(changes->m_relays);
     if (call == m_latest_call) {
         m_cursor = changes->m_cursor;
+        m_can_resume = changes->m_complete_revision != 0;
     }
     m_newest_revision = std::max(m_newest_revision, changes->m_revision);
     return std::move(*answer);
 }
 
+// Lists from the first relay that answers within `limit`; nullopt if none does. `failed_relay` is
+// the one that this node followed until now.
+std::optional<store_answer>
+relayed_store::list_from_relays(std::uint64_t known_revision, duration limit,
+                                const std::optional<std::string>& failed_relay)
+{
+    const std::string failed_parameter = failed_relay ? "&failed=" + *failed_relay : "";
+    const time_point end = clock_type::now() + limit;
+    while (!m_cancelled) {
+        const time_point now = clock_type::now();
+        const auto relay = m_relay_selector.choose(now);
+        if (!relay || now >= end) {
+            break;
+        }
+        // The relay holds the request for part of the time, so that its refusal still arrives.
+        const duration hold = (end - now) * 3 / 4;
+        const pool_ptr pool = pool_of(*relay);
+        store_answer all = query(*pool, *relay,
+                                 "?known=" + std::to_string(known_revision) + "&wait_ms=" +
+                                     std::to_string(whole_ms(hold)) + failed_parameter,
+                                 end - now);
+        if (all.m_status == store_status::ok) {
+            switch_to(relay, pool);
+            return all;
+        }
+    }
+    return std::nullopt;
+}
+
 store_answer relayed_store::track_revision(store_answer answer)
 {
+    m_can_resume = m_can_resume || answer.m_status == store_status::ok;
     for (const source::key_change& change : answer.m_items) {
         m_newest_revision = std::max(m_newest_revision, change.m_revision);
     }
@@ -142,82 +198,71 @@
 
 store_answer relayed_store::list(const source::list_request& request)
 {
-    // After a relay has failed, list() does not look for another one: it calls the store at once,
-    // and watch() looks for a relay.
-    const auto relay = std::exchange(m_next_relay, std::nullopt);
-    if (relay && request.m_after.empty()) {
-        switch_to(relay);
-        store_answer all = query_relay(*relay, "", answer_timeout);
-        if (all.m_status == store_status::ok || m_cancelled) {
-            return all;
+    if (request.m_after.empty()) {
+        const duration limit =
+            request.m_known_revision == 0 ? first_list_limit : m_options.m_timing.m_search;
+        if (auto all = list_from_relays(request.m_known_revision, limit)) {
+            return std::move(*all);
         }
-        log_relay_failure(all.m_why);
+        switch_to(std::nullopt);
     }
-    switch_to(std::nullopt);
+    ++m_latest_call;
     return track_revision(m_direct->list(request));
 }
 
-// Returns the relay to follow, or nullopt for the store. Probes a relay other than the current
-// one first.
-std::optional<std::string> relayed_store::find_relay()
-{
-    const time_point end = clock_type::now() + probe_timeout;
-    while (!m_cancelled && clock_type::now() < end) {
-        auto relay = m_relay_selector.choose(clock_type::now());
-        if (!relay || relay == m_relay) {
-            return relay;
-        }
-        forwarding::connection_pool pool(m_io, {*relay, m_port}, 0, probe_timeout);
-        const store_answer probe_answer = query_relay(pool, *relay, "?cursor=0", probe_timeout);
-        if (probe_answer.m_status != store_status::failed) {
-            return m_next_relay = relay;
-        }
-    }
-    return std::nullopt;
-}
-
-void relayed_store::log_relay_failure(const reason& why) const
-{
-    log_event(log_level::info, "relay_failed",
-              {{"path", m_path}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
-}
-
 // Returns how long to watch the store before looking for a relay again.
 milliseconds relayed_store::direct_watch_wait(milliseconds asked) const
 {
+    const milliseconds relay_wait = std::min(asked, m_options.m_timing.m_store_watch_wait);
     const time_point now = clock_type::now();
     if (m_relay_selector.is_relay(now)) {
-        return std::min(asked, relay_watch_wait);
+        return relay_wait;
     }
     const auto until_change = m_relay_selector.time_until_change(now);
     if (!until_change) {
         return asked;
     }
-    const auto wait = std::chrono::ceil<milliseconds>(*until_change);
-    return std::min(asked, std::max(wait, relay_watch_wait));
+    return std::min(asked, std::max(std::chrono::ceil<milliseconds>(*until_change), relay_wait));
 }
 
-store_answer relayed_store::watch(const source::watch_request& request)
+store_answer relayed_store::watch_store(const source::watch_request& request)
 {
-    store_answer expired;
-    expired.m_status = store_status::history_lost;
-    const auto relay = find_relay();
-    if (relay != m_relay) {
+    const bool was_relayed = m_relay.has_value();
+    switch_to(std::nullopt);
+    ++m_latest_call;
+    if (!m_can_resume) {
+        store_answer expired;
+        expired.m_status = store_status::history_lost;
         return expired;
     }
-    if (!relay) {
-        return track_revision(
-            m_direct->watch({request.m_after, direct_watch_wait(request.m_wait)}));
+    // The first watch returns at once: what the relay did not tell any more may be due.
+    const milliseconds wait = was_relayed ? milliseconds(0) : direct_watch_wait(request.m_wait);
+    return track_revision(m_direct->watch({.m_after = request.m_after,
+                                           .m_wait = wait,
+                                           .m_slack = m_options.m_timing.m_store_answer_slack}));
+}
+
+store_answer relayed_store::watch(const source::watch_request& request)
+{
+    std::optional<std::string> failed_relay;
+    const auto chosen = m_relay_selector.choose(clock_type::now());
+    if (chosen && chosen == m_relay) {
+        const pool_ptr pool = m_pool; // a concurrent call may replace it
+        const milliseconds wait = std::min(request.m_wait, m_options.m_timing.m_poll_wait);
+        store_answer changes = query(*pool, *chosen,
+                                     "?cursor=" + std::to_string(m_cursor) +
+                                         "&wait_ms=" + std::to_string(wait.count()),
+                                     wait + m_options.m_timing.m_answer_slack);
+        if (changes.m_status != store_status::failed || m_cancelled) {
+            return changes;
+        }
+        failed_relay = chosen;
     }
-    store_answer changes = query_relay(*relay,
-                                       "?cursor=" + std::to_string(m_cursor) +
-                                           "&wait_ms=" + std::to_string(request.m_wait.count()),
-                                       request.m_wait + answer_timeout);
-    if (changes.m_status == store_status::failed && !m_cancelled) {
-        log_relay_failure(changes.m_why);
-        return expired;
+    if (auto all = list_from_relays(request.m_after, m_options.m_timing.m_search, failed_relay)) {
+        all->m_is_complete_list = true;
+        return std::move(*all);
     }
-    return changes;
+    return watch_store(request);
 }
 
 void relayed_store::cancel()
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -1,56 +1,73 @@
 // A client for one part of the store that reads through the failure domain's relay if there is
 // one, and from the store otherwise.
 //
-// When it switches between relay and store it returns "forgotten", so that the follower lists
-// again from the new one. A relay with an older revision than the node has received counts as
-// failed, so that values never go back.
+// A watch that changes from one relay to another returns all keys, with the values of those that
+// have changed. One that changes from a relay to the store continues after the last revision that
+// the relay had completely, so that the loss of a relay costs each follower at most one call. A
+// relay with an older revision than the node has received counts as failed, so that values never
+// go back.
 //
-//     relayed_store store(io, open_direct(), source::store_part::registrations, selector, port);
+//     relayed_store store(io, open_direct(), options, selector);
 #pragma once
 
 #include "pomelohead/discovery/relay_selector.h"
+#include "pomelohead/discovery/relay_timing.h"
 #include "pomelohead/forwarding/http_get.h"
 #include "pomelohead/source/key_value.h"
+#include "pomelohead/source/relay.h"
 
 #include <memory>
 
 namespace pomelohead::discovery {
 
+struct relayed_store_options {
+    source::store_part m_part = source::store_part::configuration;
+    std::string m_address;          ///< of this node
+    std::uint16_t m_relay_port = 0; ///< the same on all nodes
+    relay_timing m_timing;
+};
+
 class relayed_store final : public source::key_value_store {
 public:
-    /// `io` and `selector` must outlive the object; relays listen on `port`.
+    /// `io` and `selector` must outlive the object.
     relayed_store(boost::asio::io_context& io, std::unique_ptr<source::key_value_store> direct,
-                  source::store_part part, relay_selector& selector, std::uint16_t port);
+                  relayed_store_options options, relay_selector& selector);
 
     [[nodiscard]] source::store_answer list(const source::list_request& request) override;
     [[nodiscard]] source::store_answer watch(const source::watch_request& request) override;
     void cancel() override;
 
 private:
-    [[nodiscard]] source::store_answer query_relay(const std::string& relay,
-                                                   const std::string& query, duration limit);
-    [[nodiscard]] source::store_answer query_relay(forwarding::connection_pool& pool,
-                                                   const std::string& relay,
-                                                   const std::string& query, duration limit);
-    [[nodiscard]] std::optional<std::string> find_relay();
+    using pool_ptr = std::shared_ptr<forwarding::connection_pool>;
+
+    [[nodiscard]] pool_ptr pool_of(const std::string& relay) const;
+    [[nodiscard]] source::store_answer query(forwarding::connection_pool& pool,
+                                             const std::string& relay, const std::string& query,
+                                             duration limit);
+    [[nodiscard]] source::store_answer convert(const std::string& relay, std::uint64_t call,
+                                               const forwarding::full_response& response);
+    [[nodiscard]] source::store_answer failure(const std::string& relay, const reason& why) const;
+    [[nodiscard]] std::optional<source::store_answer>
+    list_from_relays(std::uint64_t known_revision, duration limit,
+                     const std::optional<std::string>& failed_relay = std::nullopt);
+    [[nodiscard]] source::store_answer watch_store(const source::watch_request& request);
     [[nodiscard]] milliseconds direct_watch_wait(milliseconds asked) const;
     [[nodiscard]] source::store_answer track_revision(source::store_answer answer);
-    void log_relay_failure(const reason& why) const;
-    void switch_to(const std::optional<std::string>& relay);
+    void switch_to(const std::optional<std::string>& relay, pool_ptr pool = nullptr);
 
     boost::asio::io_context& m_io;
     std::unique_ptr<source::key_value_store> m_direct;
+    relayed_store_options m_options;
     std::string m_path;
     relay_selector& m_relay_selector;
-    std::uint16_t m_port;
-    std::optional<std::string> m_relay;      ///< that the latest list used; nullopt: the store
-    std::optional<std::string> m_next_relay; ///< probed successfully; the next list uses it
-    std::shared_ptr<forwarding::connection_pool> m_pool; ///< to m_relay
+    std::optional<std::string> m_relay; ///< followed now; nullopt: the store
+    pool_ptr m_pool;                    ///< to m_relay
     forwarding::in_flight_calls m_in_flight;
     // Identifies the latest call: an earlier call that ends later must not set the cursor.
     std::uint64_t m_latest_call = 0;
     std::uint64_t m_cursor = 0;          ///< of m_relay
     std::uint64_t m_newest_revision = 0; ///< of the part, from relays and the store
+    bool m_can_resume = false;           ///< the latest answer was complete up to its revision
     bool m_cancelled = false;
 };
 
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -156,9 +156,13 @@
     constexpr double least_relay_mbps = 50;
     // Decoding and packing it take some 10 ms of a core.
     constexpr double least_relay_cores = 0.15;
-    options.m_relays_configuration =
+    options.m_is_preferred_relay =
         settings.m_link_mbps.value_or(least_relay_mbps) >= least_relay_mbps &&
         settings.m_cores.value_or(least_relay_cores) >= least_relay_cores;
+    options.m_seeds = settings.m_peers;
+    constexpr milliseconds default_in_force_within{2'000};
+    options.m_timing =
+        discovery::make_relay_timing(settings.m_in_force_within.value_or(default_in_force_within));
     options.m_configuration.m_list_after_changes = true;
     if (settings.m_in_force_within) {
         const auto part_of = [&settings](double part) {
--- a/pomelohead/node/node_options_test.cc
+++ b/pomelohead/node/node_options_test.cc
@@ -37,7 +37,7 @@
         settings::node_settings settings;
         settings.m_link_mbps = c.m_mbps;
         settings.m_cores = c.m_cores;
-        BOOST_TEST(catalog_options_of(settings, 1).m_relays_configuration == c.m_relays);
+        BOOST_TEST(catalog_options_of(settings, 1).m_is_preferred_relay == c.m_relays);
     }
 }
 
--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -31,9 +31,20 @@
     bool operator==(const key_change&) const = default;
 };
 
+/// A present key and the revision of its value.
+struct key_revision {
+    std::string m_key;
+    std::uint64_t m_revision = 0;
+
+    bool operator==(const key_revision&) const = default;
+};
+
 /// Asks for a page of the keys, in key order.
 struct list_request {
     std::string m_after; ///< the page starts after this key; empty: at the first key
+    /// The caller has all changes up to this revision, so the answer may name the keys that have
+    /// not changed since without their values; 0: the caller has nothing.
+    std::uint64_t m_known_revision = 0;
 
     bool operator==(const list_request&) const = default;
 };
@@ -42,6 +53,7 @@
 struct watch_request {
     std::uint64_t m_after = 0; ///< returns changes with a revision above this one
     milliseconds m_wait{0};    ///< the store answers after this time even without changes
+    milliseconds m_slack{700}; ///< how long the answer may take beyond that
 
     bool operator==(const watch_request&) const = default;
 };
@@ -57,8 +69,10 @@
     store_status m_status = store_status::failed;
     std::uint64_t m_revision = 0; ///< revision of the store up to which the answer is complete
     std::vector<key_change> m_items;
-    bool m_has_more = false; ///< list only: more pages follow
-    bool m_relayed = false;  ///< from another node, without a call to the store
+    std::vector<key_revision> m_unchanged; ///< complete list only: keys named without a value
+    bool m_has_more = false;               ///< list only: more pages follow
+    bool m_is_complete_list = false;       ///< watch only: all present keys in place of the changes
+    bool m_relayed = false;                ///< from another node, without a call to the store
     reason m_why;
 
     bool operator==(const store_answer&) const = default;
--- a/pomelohead/source/relay.cc
+++ b/pomelohead/source/relay.cc
@@ -48,27 +48,48 @@
     }
 }
 
-void relay::set_has_store_contact(bool in_touch)
+void relay::set_feed(relay_feed feed)
 {
-    if (std::exchange(m_has_store_contact, in_touch) != in_touch) {
+    if (std::exchange(m_feed, feed) != feed) {
         m_on_change();
     }
 }
 
-std::optional<relayed_changes> relay::changes_after(std::optional<std::uint64_t> cursor)
+relayed_item relay::to_item(const std::string& key, entry& state)
 {
-    if (cursor && (*cursor < m_oldest_cursor || *cursor > m_cursor)) {
-        return std::nullopt;
+    if (!state.m_is_tombstone && !state.m_packed_value) {
+        state.m_packed_value = pack(std::exchange(state.m_value, {}));
     }
-    relayed_changes changes{m_cursor, m_revision, {}};
+    return {key, state.m_revision, state.m_packed_value};
+}
+
+relayed_changes relay::list(std::uint64_t known_revision)
+{
+    relayed_changes all = empty_changes();
     for (auto& [key, state] : m_entries) {
-        if (cursor ? state.m_cursor <= *cursor : state.m_is_tombstone) {
+        if (state.m_is_tombstone) {
             continue;
         }
-        if (!state.m_is_tombstone && !state.m_packed_value) {
-            state.m_packed_value = pack(std::exchange(state.m_value, {}));
+        if (state.m_revision <= known_revision) {
+            all.m_unchanged.push_back({key, state.m_revision});
+        }
+        else {
+            all.m_items.push_back(to_item(key, state));
+        }
+    }
+    return all;
+}
+
+std::optional<relayed_changes> relay::changes_after(std::uint64_t cursor)
+{
+    if (cursor < m_oldest_cursor || cursor > m_cursor) {
+        return std::nullopt;
+    }
+    relayed_changes changes = empty_changes();
+    for (auto& [key, state] : m_entries) {
+        if (state.m_cursor > cursor) {
+            changes.m_items.push_back(to_item(key, state));
         }
-        changes.m_items.push_back({key, state.m_revision, state.m_packed_value});
     }
     return changes;
 }
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -4,12 +4,14 @@
 // numbers changes with a counter of its own, the cursor; a follower that has all changes up
 // to a cursor asks for the later ones. Of several changes to one key it gets only the
 // newest. A cursor of another relay, or one from before the oldest tombstone that is still
-// kept, has no answer: the follower must list again.
+// kept, has no answer: the follower must list again. A follower that comes from another relay
+// or from the store lists with the revision that it has, and gets the values of the keys that
+// changed since and only the names of the others.
 //
 //     relay feed(incarnation);
 //     feed.put({.m_key = "a", .m_revision = 7, .m_value = "1"});
-//     std::optional<relayed_changes> all = feed.changes_after(std::nullopt);
-//     std::optional<relayed_changes> later = feed.changes_after(all->m_cursor);
+//     relayed_changes all = feed.list(0);
+//     std::optional<relayed_changes> later = feed.changes_after(all.m_cursor);
 #pragma once
 
 #include "pomelohead/source/key_value.h"
@@ -33,11 +35,23 @@
 struct relayed_changes {
     std::uint64_t m_cursor = 0;
     std::uint64_t m_revision = 0; ///< the store's revision of the newest change to this part
+    /// The store's revision up to which the relay has all changes, so that a follower can watch the
+    /// store after it; 0 while that is not certain.
+    std::uint64_t m_complete_revision = 0;
     std::vector<relayed_item> m_items;
+    std::vector<key_revision> m_unchanged; ///< list only: present keys that the follower has
+    std::vector<std::string> m_relays; ///< addresses of the nodes that can relay, this one included
 
     bool operator==(const relayed_changes&) const = default;
 };
 
+/// From where a node has the changes that it relays.
+enum class relay_feed {
+    none,   ///< nothing yet, or contact is lost
+    relays, ///< another relay
+    store,
+};
+
 /// The newest state of one part of the store.
 class relay {
 public:
@@ -50,17 +64,22 @@
     void put(const key_change& change);
     void remove(const std::string& key, std::uint64_t revision);
 
-    /// Whether this node itself has contact with the store.
-    void set_has_store_contact(bool in_touch);
-    [[nodiscard]] bool has_store_contact() const { return m_has_store_contact; }
+    /// Sets from where this node has the changes at the moment.
+    void set_feed(relay_feed feed);
+    [[nodiscard]] relay_feed feed() const { return m_feed; }
+
+    /// Sets relayed_changes::m_complete_revision of the answers from now on.
+    void set_complete_revision(std::uint64_t revision) { m_complete_revision = revision; }
 
     [[nodiscard]] std::uint64_t cursor() const { return m_cursor; }
 
-    /// The changes after `cursor`, or all present keys without a cursor. Returns nothing if
-    /// the relay cannot tell what changed since `cursor`.
-    [[nodiscard]] std::optional<relayed_changes> changes_after(std::optional<std::uint64_t> cursor);
+    /// All present keys, with the values that are newer than `known_revision`.
+    [[nodiscard]] relayed_changes list(std::uint64_t known_revision);
 
-    /// Called after each change to a key or to in_touch().
+    /// The changes after `cursor`. Returns nothing if the relay cannot tell what changed since.
+    [[nodiscard]] std::optional<relayed_changes> changes_after(std::uint64_t cursor);
+
+    /// Called after each change to a key or to feed().
     std::function<void()> m_on_change = [] {};
 
 private:
@@ -74,11 +93,17 @@
     };
 
     void evict_old_tombstones();
+    [[nodiscard]] relayed_changes empty_changes() const
+    {
+        return {m_cursor, m_revision, m_complete_revision, {}, {}, {}};
+    }
+    [[nodiscard]] static relayed_item to_item(const std::string& key, entry& state);
 
     std::uint64_t m_cursor;
     std::uint64_t m_oldest_cursor; ///< older cursors cannot be answered
     std::uint64_t m_revision = 0;
-    bool m_has_store_contact = false;
+    std::uint64_t m_complete_revision = 0;
+    relay_feed m_feed = relay_feed::none;
     std::map<std::string, entry> m_entries;
     std::size_t m_tombstone_count = 0; ///< entries that are tombstones
 };
--- a/pomelohead/source/relay_codec.cc
+++ b/pomelohead/source/relay_codec.cc
@@ -10,6 +10,7 @@
 using json = nlohmann::json;
 
 constexpr unsigned max_nesting_depth = 3;
+constexpr std::size_t change_field_count = 6;
 constexpr std::size_t removal_field_count = 2;
 constexpr std::size_t value_field_count = 5;
 
@@ -51,8 +52,14 @@
     for (const relayed_item& item : changes.m_items) {
         items.push_back(item_to_json(item));
     }
+    json unchanged = json::array();
+    for (const key_revision& present : changes.m_unchanged) {
+        unchanged.push_back(json::array({present.m_key, present.m_revision}));
+    }
     std::string out;
-    json::to_cbor(json::array({changes.m_cursor, changes.m_revision, std::move(items)}), out);
+    json::to_cbor(json::array({changes.m_cursor, changes.m_revision, changes.m_complete_revision,
+                               std::move(items), std::move(unchanged), changes.m_relays}),
+                  out);
     return out;
 }
 
@@ -63,18 +70,37 @@
         return std::nullopt;
     }
     const json in = json::from_cbor(bytes, true, false);
-    if (!in.is_array() || in.size() != 3 || !in[0].is_number_unsigned() ||
-        !in[1].is_number_unsigned() || !in[2].is_array()) {
+    if (!in.is_array() || in.size() != change_field_count || !in[0].is_number_unsigned() ||
+        !in[1].is_number_unsigned() || !in[2].is_number_unsigned() || !in[3].is_array() ||
+        !in[4].is_array() || !in[5].is_array()) {
         return std::nullopt;
     }
-    relayed_changes changes{in[0].get<std::uint64_t>(), in[1].get<std::uint64_t>(), {}};
-    for (const json& entry : in[2]) {
+    relayed_changes changes{in[0].get<std::uint64_t>(),
+                            in[1].get<std::uint64_t>(),
+                            in[2].get<std::uint64_t>(),
+                            {},
+                            {},
+                            {}};
+    for (const json& entry : in[3]) {
         auto item = item_from_json(entry);
         if (!item) {
             return std::nullopt;
         }
         changes.m_items.push_back(std::move(*item));
     }
+    for (const json& entry : in[4]) {
+        const auto present = item_from_json(entry);
+        if (!present || present->m_value) {
+            return std::nullopt;
+        }
+        changes.m_unchanged.push_back({present->m_key, present->m_revision});
+    }
+    for (const json& relay : in[5]) {
+        if (!relay.is_string()) {
+            return std::nullopt;
+        }
+        changes.m_relays.push_back(relay.get<std::string>());
+    }
     return changes;
 }
 
--- a/pomelohead/source/relay_codec.h
+++ b/pomelohead/source/relay_codec.h
@@ -1,7 +1,8 @@
 // CBOR encoding of relayed_changes.
 //
-// An array [cursor, revision, items]. An item is [key, revision] for a removal and
-// [key, revision, size, deflated, bytes] for a value.
+// An array [cursor, revision, complete revision, items, unchanged, relays]. An item is
+// [key, revision] for a removal and [key, revision, size, deflated, bytes] for a value; an
+// unchanged key is [key, revision]; a relay is an address.
 //
 //     std::string bytes = encode(changes);
 //     reason why;
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -3,6 +3,7 @@
 // each key decides which of two values is newer.
 #include "pomelohead/source/store_follower.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,7 +24,7 @@
 void store_follower::restart()
 {
     m_next_call_timer.cancel();
-    list_from({});
+    list_changed();
 }
 
 void store_follower::stop()
@@ -33,22 +34,47 @@
     m_removal_grace_timer.cancel();
 }
 
-void store_follower::list_from(const std::string& after)
+std::uint64_t store_follower::complete_revision() const
 {
-    if (after.empty()) {
-        m_list_revision = 0;
-        m_list_has_changes = false;
-        for (auto& [key, known] : m_keys) {
-            known.m_in_list = false;
-        }
+    const bool is_certain = m_status.m_listed && std::ranges::none_of(m_keys, [](const auto& item) {
+                                return item.second.m_removal_pending;
+                            });
+    return is_certain ? m_status.m_revision : 0;
+}
+
+void store_follower::mark_all_unlisted()
+{
+    m_list_revision = 0;
+    m_list_has_changes = false;
+    for (auto& [key, known] : m_keys) {
+        known.m_in_list = false;
     }
+}
+
+void store_follower::list_from(const std::string& after, std::uint64_t known_revision)
+{
     ++m_status.m_calls;
     const std::uint64_t generation = ++m_generation;
-    m_hooks.m_list({.m_after = after}, [this, generation, after](const store_answer& page) {
-        if (generation == m_generation) {
-            on_list_page(after, page);
+    m_hooks.m_list({.m_after = after, .m_known_revision = known_revision},
+                   [this, generation, after](const store_answer& page) {
+                       if (generation == m_generation) {
+                           on_list_page(after, page);
+                       }
+                   });
+}
+
+// Returns whether all keys are known with the stated revisions.
+bool store_follower::mark_unchanged(const std::vector<key_revision>& keys)
+{
+    for (const key_revision& present : keys) {
+        const auto it = m_keys.find(present.m_key);
+        if (it == m_keys.end() || it->second.m_revision != present.m_revision) {
+            return false;
         }
-    });
+        it->second.m_in_list = true;
+        it->second.m_removal_pending = false;
+    }
+    return true;
 }
 
 void store_follower::on_list_page(const std::string& after, const store_answer& page)
@@ -57,11 +83,16 @@
         on_failure(page.m_why);
         return;
     }
-    on_success();
+    on_success(page);
     if (after.empty()) {
+        mark_all_unlisted();
         m_list_revision = page.m_revision;
         m_list_relayed = page.m_relayed;
     }
+    if (!mark_unchanged(page.m_unchanged)) {
+        list_from({}); // the node that omitted the values has others
+        return;
+    }
     for (const key_change& item : page.m_items) {
         apply_value(item);
         m_keys[item.m_key].m_in_list = true;
@@ -85,7 +116,7 @@
         apply_removal(key, m_list_revision);
     }
     const bool is_first = !std::exchange(m_status.m_listed, true);
-    m_status.m_revision = m_list_revision;
+    m_status.m_revision = std::max(m_status.m_revision, m_list_revision);
     m_hooks.m_on_answer_applied();
     if (m_options.m_list_after_changes && m_list_has_changes && !is_first && !m_list_relayed) {
         schedule_list(m_options.m_batch_delay);
@@ -96,7 +127,7 @@
 
 void store_follower::schedule_list(duration delay)
 {
-    m_next_call_timer = m_timers.after(delay, [this] { list_from({}); });
+    m_next_call_timer = m_timers.after(delay, [this] { list_changed(); });
 }
 
 void store_follower::watch()
@@ -114,15 +145,19 @@
 void store_follower::on_changes(const store_answer& changes)
 {
     if (changes.m_status == store_status::history_lost) {
-        on_success();
-        list_from({});
+        on_success(changes);
+        list_changed();
         return;
     }
     if (changes.m_status != store_status::ok) {
         on_failure(changes.m_why);
         return;
     }
-    on_success();
+    if (changes.m_is_complete_list) {
+        on_list_page({}, changes);
+        return;
+    }
+    on_success(changes);
     for (const key_change& change : changes.m_items) {
         if (change.m_value) {
             apply_value(change);
@@ -208,11 +243,12 @@
     schedule_list(m_backoff.next(m_random));
 }
 
-void store_follower::on_success()
+void store_follower::on_success(const store_answer& answer)
 {
     m_backoff.reset();
     const time_point now = m_timers.now();
     m_status.m_last_contact = now;
+    m_status.m_relayed = answer.m_relayed;
     if (m_status.m_up) {
         return;
     }
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -58,6 +58,7 @@
     bool m_listed = false; ///< a complete list has been read since the start
     bool m_up = false;     ///< the latest call succeeded
     std::uint64_t m_revision = 0;
+    bool m_relayed = false; ///< the latest successful call was answered by a relay
     std::uint64_t m_calls = 0;
     std::optional<time_point> m_last_contact;
     reason m_last_failure;
@@ -83,18 +84,25 @@
 
     [[nodiscard]] const follower_status& status() const { return m_status; }
 
+    /// The store's revision up to which all changes have been reported; 0 before the first list
+    /// and while removals wait for the end of their grace.
+    [[nodiscard]] std::uint64_t complete_revision() const;
+
 private:
-    void list_from(const std::string& after);
+    void list_from(const std::string& after, std::uint64_t known_revision = 0);
+    void list_changed() { list_from({}, complete_revision()); }
     void schedule_list(duration delay);
     void on_list_page(const std::string& after, const store_answer& page);
     void finish_list();
     void watch();
     void on_changes(const store_answer& changes);
+    void mark_all_unlisted();
+    [[nodiscard]] bool mark_unchanged(const std::vector<key_revision>& keys);
     void apply_value(const key_change& change);
     void apply_removal(const std::string& key, std::uint64_t revision);
     void apply_pending_removals();
     void on_failure(const reason& why);
-    void on_success();
+    void on_success(const store_answer& answer);
     [[nodiscard]] bool is_in_removal_grace() const;
 
     struct known_key {
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -218,4 +218,86 @@
 }
 
 } // namespace
+// A list from another relay names unchanged keys without their values. What it does not name is
+// gone, and a revision that differs from the known one shows that the values are needed after all.
+BOOST_AUTO_TEST_CASE(a_list_without_known_values_is_checked_by_revision)
+{
+    std::vector<list_request> lists;
+    std::vector<store_answer> list_answers;
+    std::vector<store_answer> watch_answers;
+    testing::manual_timer_service timers;
+    key_values values;
+    follower_hooks hooks;
+    hooks.m_list = [&](const list_request& request, const auto& done) {
+        lists.push_back(request);
+        const store_answer answer = list_answers.at(0);
+        list_answers.erase(list_answers.begin());
+        done(answer);
+    };
+    hooks.m_watch = [&](const watch_request&, const auto& done) {
+        if (!watch_answers.empty()) {
+            const store_answer answer = watch_answers.at(0);
+            watch_answers.erase(watch_answers.begin());
+            done(answer);
+        }
+    };
+    hooks.m_on_put = [&](const key_change& c) { values[c.m_key] = *c.m_value; };
+    hooks.m_on_removed = [&](const std::string& key) { values.erase(key); };
+    hooks.m_on_answer_applied = [] {};
+    hooks.m_on_contact_lost = [](const reason&) {};
+    hooks.m_on_contact_regained = [] {};
+    const auto list_of = [](std::uint64_t revision, std::vector<key_change> items,
+                            std::vector<key_revision> unchanged) {
+        store_answer answer;
+        answer.m_status = store_status::ok;
+        answer.m_revision = revision;
+        answer.m_items = std::move(items);
+        answer.m_unchanged = std::move(unchanged);
+        answer.m_relayed = true;
+        return answer;
+    };
+    list_answers = {list_of(10, {{"a", 5, "1"}, {"b", 6, "1"}, {"c", 7, "1"}}, {})};
+    store_answer switched = list_of(12, {{"d", 11, "1"}}, {{"a", 5}, {"b", 6}});
+    switched.m_is_complete_list = true;
+    watch_answers = {switched};
+    store_follower follower({}, timers, hooks, 1);
+    follower.start();
+    timers.advance(1s);
+    BOOST_TEST((values == key_values{{"a", "1"}, {"b", "1"}, {"d", "1"}}));
+    BOOST_TEST(follower.complete_revision() == 12U);
+    BOOST_TEST(lists.size() == 1U);
+
+    list_answers = {list_of(13, {}, {{"a", 5}, {"b", 9}}),
+                    list_of(13, {{"a", 5, "1"}, {"b", 9, "2"}}, {})};
+    follower.restart();
+    timers.advance(1s);
+    BOOST_TEST((values == key_values{{"a", "1"}, {"b", "2"}}));
+    BOOST_REQUIRE(lists.size() == 3U);
+    BOOST_TEST(lists.at(1).m_known_revision == 12U);
+    BOOST_TEST(lists.at(2).m_known_revision == 0U);
+}
+
+// While a removal waits for the end of its grace, nobody may take over from this node's revision:
+// the removal would never be told again.
+BOOST_AUTO_TEST_CASE(no_revision_is_complete_while_a_removal_is_pending)
+{
+    follower_fixture fixture;
+    fixture.m_store.put("a", "1");
+    BOOST_TEST(fixture.m_follower->complete_revision() == 0U);
+    fixture.m_follower->start();
+    fixture.m_timers.advance(1s);
+    BOOST_TEST(fixture.m_follower->complete_revision() == fixture.m_follower->status().m_revision);
+    fixture.m_store.set_mode(store_mode::down);
+    fixture.m_store.forget_history();
+    fixture.m_timers.advance(5s);
+    fixture.m_store.set_mode(store_mode::up);
+    fixture.m_store.erase("a");
+    fixture.m_timers.advance(1s + 500ms);
+    BOOST_TEST(fixture.m_values.contains("a"));
+    BOOST_TEST(fixture.m_follower->complete_revision() == 0U);
+    fixture.m_timers.advance(5s);
+    BOOST_TEST(!fixture.m_values.contains("a"));
+    BOOST_TEST(fixture.m_follower->complete_revision() != 0U);
+}
+
 } // namespace pomelohead::source
