--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -5,6 +5,7 @@
 
 #include "pomelohead/cli/console.h"
 #include "pomelohead/node/node.h"
+#include "pomelohead/runtime/heap.h"
 #include "pomelohead/settings/policy_knobs.h"
 #include "pomelohead/telemetry/log.h"
 
@@ -133,6 +134,7 @@
 int run_node(settings::node_settings settings, const node::adapter& parts,
              const node_arguments& arguments, const std::string& path)
 {
+    limit_heap_retention();
     init_logging(level_of(settings.m_log_level), settings.m_node);
     boost::asio::io_context& io = install_fiber_scheduler();
     node::node n(std::move(settings), io, parts);
