Discovery: a node without a relay watches the store no longer than the bound allows

Ruled out: the relays (not asked), decoding (accepted in the millisecond of the answer).

Change: a watch of the store lasts a share of the bound, whoever makes it; relay_timing has the sum. Test: no_watch_outlasts_the_bound_on_changes fails when the share is taken back.

--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -27,8 +27,10 @@
 // One node's connection to the shared store; can be disconnected.
 class store_connection final : public source::key_value_store {
 public:
-    store_connection(testing::fake_store& store, const bool& is_disconnected, int& lists)
-        : m_store(store), m_is_disconnected(is_disconnected), m_lists(lists)
+    store_connection(testing::fake_store& store, const bool& is_disconnected, int& lists,
+                     milliseconds& longest_call)
+        : m_store(store), m_is_disconnected(is_disconnected), m_lists(lists),
+          m_longest_call(longest_call)
     {
     }
 
@@ -39,6 +41,7 @@
     }
     source::store_answer watch(const source::watch_request& request) override
     {
+        m_longest_call = std::max(m_longest_call, request.m_wait + request.m_slack);
         return call([&](const auto& done) { m_store.watch(request, done); });
     }
     void cancel() override
@@ -71,6 +74,7 @@
     testing::fake_store& m_store;
     const bool& m_is_disconnected;
     int& m_lists;
+    milliseconds& m_longest_call;
     bool m_cancelled = false;
     fiber_event m_ended;
 };
@@ -95,6 +99,8 @@
 }
 
 struct failure_domain_fixture {
+    static constexpr milliseconds bound{4'000}; // relays watch the store once per second
+
     // `capable_node` is the only node that can relay the configuration; nullopt: all can. `seed` is
     // the node that all ask when they start.
     explicit failure_domain_fixture(boost::asio::io_context& io,
@@ -113,13 +119,13 @@
             options.m_failure_domain = "bala";
             options.m_is_preferred_relay = !capable_node || *capable_node == node;
             options.m_incarnation = 1'000U + static_cast<unsigned>(node);
-            options.m_timing = make_relay_timing(4s); // relays watch the store once per second
+            options.m_timing = make_relay_timing(bound);
             if (seed) {
                 options.m_seeds = {"127.95.0.200", address_of(*seed)}; // the first one is down
             }
             const auto open = [this, node](source::store_part) {
                 return std::make_unique<store_connection>(m_store, m_is_disconnected.at(node),
-                                                          m_lists.at(node));
+                                                          m_lists.at(node), m_longest_call);
             };
             m_nodes.push_back(std::make_unique<catalog>(io, options, m_timers, open, decode));
             reason why;
@@ -170,6 +176,7 @@
     testing::fake_store m_store;
     std::array<bool, node_count> m_is_disconnected{};
     std::array<int, node_count> m_lists{};
+    milliseconds m_longest_call{0}; ///< that a node waits for the answer to a watch
     std::vector<std::unique_ptr<catalog>> m_nodes;
     int m_relay = 0;
 };
@@ -304,6 +311,28 @@
     }
 }
 
+// A connection to the store that goes silent shows only by the time that an answer takes, whether
+// a node relays, has lost its relays, or never had one.
+BOOST_AUTO_TEST_CASE(no_watch_outlasts_the_bound_on_changes)
+{
+    constexpr int nobody = -1;
+    for (const int capable_node : {nobody, 0}) {
+        testing::run_in_fiber([capable_node](boost::asio::io_context& io) {
+            failure_domain_fixture d(io, capable_node);
+            BOOST_TEST(d.all_nodes_have("target-0"));
+            sleep_for(500ms);
+            if (capable_node != nobody) {
+                d.m_nodes.at(capable_node)->leave();
+            }
+            d.m_store.put("new", "10.9.0.1");
+            BOOST_TEST(d.all_nodes_have("new"));
+            sleep_for(200ms);
+            const relay_timing timing = make_relay_timing(failure_domain_fixture::bound);
+            BOOST_TEST((d.m_longest_call <= timing.direct_loss()));
+        });
+    }
+}
+
 // The followers of a relay that stops continue from its last revision instead of listing.
 BOOST_AUTO_TEST_CASE(loss_of_the_relay_costs_no_list)
 {
@@ -350,6 +379,7 @@
         testing::fake_store store(timers);
         bool is_disconnected = false;
         int lists = 0;
+        milliseconds longest_call{0};
         catalog_options options;
         options.m_address = address_of(1);
         options.m_relay_port = relay_port;
@@ -357,7 +387,7 @@
         options.m_is_preferred_relay = false;
         options.m_timing = make_relay_timing(2s);
         const auto open = [&](source::store_part) {
-            return std::make_unique<store_connection>(store, is_disconnected, lists);
+            return std::make_unique<store_connection>(store, is_disconnected, lists, longest_call);
         };
         catalog reader(io, options, timers, open, decode);
         store.put("target-0", address_of(0));
--- a/pomelohead/discovery/relay_timing.h
+++ b/pomelohead/discovery/relay_timing.h
@@ -22,6 +22,8 @@
     milliseconds m_search{0};
     /// How long the store holds a relay's watch while nothing changes.
     milliseconds m_store_watch_wait{0};
+    /// How long the store holds the watch of a node that has no relay to follow.
+    milliseconds m_direct_watch_wait{0};
     /// How long any node waits for an answer of the store that is due.
     milliseconds m_store_answer_slack{0};
 
@@ -38,6 +40,13 @@
     {
         return m_store_watch_wait + m_store_answer_slack + m_search;
     }
+
+    /// The longest time until a node without a relay calls the store again after its watch has
+    /// gone silent.
+    [[nodiscard]] milliseconds direct_loss() const
+    {
+        return m_direct_watch_wait + m_store_answer_slack;
+    }
 };
 
 /// `in_force_within`: the time from the store's acknowledgement of a change until all nodes
@@ -49,6 +58,7 @@
             .m_answer_slack = share(15),
             .m_search = share(15),
             .m_store_watch_wait = share(25),
+            .m_direct_watch_wait = share(50),
             .m_store_answer_slack = share(25)};
 }
 
--- a/pomelohead/discovery/relay_timing_test.cc
+++ b/pomelohead/discovery/relay_timing_test.cc
@@ -15,6 +15,7 @@
         const milliseconds rest = bound / 4;
         BOOST_TEST((timing.relay_loss() + rest <= bound));
         BOOST_TEST((timing.store_loss() + rest <= bound));
+        BOOST_TEST((timing.direct_loss() + rest <= bound));
     }
 }
 
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -213,16 +213,11 @@
 // Returns how long to watch the store before looking for a relay again.
 milliseconds relayed_store::direct_watch_wait(milliseconds asked) const
 {
-    const milliseconds relay_wait = std::min(asked, m_options.m_timing.m_store_watch_wait);
     const time_point now = clock_type::now();
-    if (m_relay_selector.is_relay(now)) {
-        return relay_wait;
-    }
-    const auto until_change = m_relay_selector.time_until_change(now);
-    if (!until_change) {
-        return asked;
-    }
-    return std::min(asked, std::max(std::chrono::ceil<milliseconds>(*until_change), relay_wait));
+    const bool has_no_relay =
+        !m_relay_selector.is_relay(now) && !m_relay_selector.time_until_change(now);
+    return std::min(asked, has_no_relay ? m_options.m_timing.m_direct_watch_wait
+                                        : m_options.m_timing.m_store_watch_wait);
 }
 
 store_answer relayed_store::watch_store(const source::watch_request& request)
