Discovery: more patience with relays, less among starting seeds

Change: a quarter of the bound to find a relay and for each piece of its answer; relays are skipped for 6 s at most; seeds answer each other at once. The sums of relay_timing hold as before.

--- a/pomelohead/discovery/relay_selector.cc
+++ b/pomelohead/discovery/relay_selector.cc
@@ -39,7 +39,7 @@
 
 void relay_selector::record_failure(const std::string& relay, time_point now)
 {
-    constexpr unsigned max_doublings = 5; // reaches max_backoff
+    constexpr unsigned max_doublings = 1; // reaches max_backoff
     backoff& entry = m_backoffs[relay];
     const unsigned doublings = std::min(entry.m_failures, max_doublings);
     entry.m_retry_at = now + std::min(initial_backoff * (1U << doublings), max_backoff);
@@ -56,7 +56,7 @@
 void relay_selector::record_decline(const std::string& relay, time_point now)
 {
     m_relays.erase(relay);
-    m_backoffs[relay] = {now + max_backoff, 0};
+    m_backoffs[relay] = {now + decline_backoff, 0};
 }
 
 bool relay_selector::is_backing_off(const std::string& relay, time_point now) const
--- a/pomelohead/discovery/relay_selector.h
+++ b/pomelohead/discovery/relay_selector.h
@@ -34,9 +34,11 @@
 class relay_selector {
 public:
     /// How long a relay is skipped after its first failure; longer than a restart takes. The time
-    /// doubles with each consecutive failure.
+    /// doubles with each consecutive failure; its maximum bounds how long a node does without relays after it was cut off itself.
     static constexpr milliseconds initial_backoff{3'000};
-    static constexpr milliseconds max_backoff{60'000};
+    static constexpr milliseconds max_backoff{6'000};
+    /// How long a node is skipped that has declined.
+    static constexpr milliseconds decline_backoff{60'000};
     /// How long a node is skipped that can relay but has no contact with the store yet.
     static constexpr milliseconds not_ready_backoff{500};
 
--- a/pomelohead/discovery/relay_timing.h
+++ b/pomelohead/discovery/relay_timing.h
@@ -18,7 +18,8 @@
     milliseconds m_poll_wait{0};
     /// How long a follower waits for an answer that is due.
     milliseconds m_answer_slack{0};
-    /// How long a follower looks for another relay before it calls the store.
+    /// How long a follower looks for a relay before it calls the store. A relay's answer is far
+    /// smaller than the store's, so that over a congested link it is worth waiting for.
     milliseconds m_search{0};
     /// How long the store holds a relay's watch while nothing changes.
     milliseconds m_store_watch_wait{0};
@@ -45,7 +46,7 @@
     /// gone silent.
     [[nodiscard]] milliseconds direct_loss() const
     {
-        return m_direct_watch_wait + m_store_answer_slack;
+        return m_direct_watch_wait + m_store_answer_slack + m_search;
     }
 };
 
@@ -56,9 +57,9 @@
     const auto share = [in_force_within](int percent) { return in_force_within * percent / 100; };
     return {.m_poll_wait = share(20),
             .m_answer_slack = share(15),
-            .m_search = share(15),
+            .m_search = share(25),
             .m_store_watch_wait = share(25),
-            .m_direct_watch_wait = share(50),
+            .m_direct_watch_wait = share(25),
             .m_store_answer_slack = share(25)};
 }
 
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -99,7 +99,7 @@
         m_cancelled ? std::nullopt
                     : forwarding::http_get(pool, relay, path,
                                            {.m_deadline = clock_type::now() + limit,
-                                            .m_piece_timeout = m_options.m_timing.m_answer_slack,
+                                            .m_piece_timeout = m_options.m_timing.m_search,
                                             .m_max_bytes = source::max_unpacked_bytes},
                                            m_in_flight, why);
     if (!response) {
--- a/pomelohead/discovery/seed_client.cc
+++ b/pomelohead/discovery/seed_client.cc
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds(200);
-// How long a seed that knows no members yet may hold the request.
-constexpr milliseconds hold{500};
+// How long a seed that knows no members yet may hold the request. Seeds do not wait for each other.
+constexpr milliseconds max_hold{500};
 constexpr duration answer_slack = std::chrono::milliseconds(300);
 constexpr unsigned status_ok = 200;
 
@@ -25,6 +25,7 @@
 
 std::optional<referral> seed_client::ask_one(const std::string& seed, reason& why)
 {
+    const milliseconds hold = m_is_seed ? milliseconds(0) : max_hold;
     forwarding::connection_pool pool(m_io, {seed, m_options.m_relay_port}, 0, connect_timeout);
     std::string path = std::string(members_path) + "?domain=" + m_options.m_failure_domain +
                        "&wait_ms=" + std::to_string(hold.count());
