--- a/pomelohead/discovery/relay_selector.h
+++ b/pomelohead/discovery/relay_selector.h
@@ -34,7 +34,8 @@
 class relay_selector {
 public:
     /// How long a relay is skipped after its first failure; longer than a restart takes. The time
-    /// doubles with each consecutive failure; its maximum bounds how long a node does without relays after it was cut off itself.
+    /// doubles with each consecutive failure; its maximum bounds how long a node does without
+    /// relays after it was cut off itself.
     static constexpr milliseconds initial_backoff{3'000};
     static constexpr milliseconds max_backoff{6'000};
     /// How long a node is skipped that has declined.
