--- a/pomelohead/discovery/referral.cc
+++ b/pomelohead/discovery/referral.cc
@@ -19,9 +19,7 @@
     }
     std::vector<std::string> out;
     for (const json& entry : in) {
-        boost::system::error_code error;
-        if (!entry.is_string() ||
-            (boost::asio::ip::make_address(entry.get_ref<const std::string&>(), error), error)) {
+        if (!entry.is_string() || !is_ip_address(entry.get_ref<const std::string&>())) {
             return std::nullopt;
         }
         out.push_back(entry.get<std::string>());
@@ -31,6 +29,13 @@
 
 } // namespace
 
+bool is_ip_address(const std::string& text)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(text, error);
+    return !error;
+}
+
 std::string encode(const referral& hints)
 {
     std::string out;
--- a/pomelohead/discovery/referral.h
+++ b/pomelohead/discovery/referral.h
@@ -26,6 +26,9 @@
     bool operator==(const referral&) const = default;
 };
 
+/// Whether `text` is an IP address. Others are not taken from messages.
+[[nodiscard]] bool is_ip_address(const std::string& text);
+
 /// Encodes as a CBOR array [members, relays] of texts.
 [[nodiscard]] std::string encode(const referral& hints);
 
--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -101,8 +101,7 @@
     const std::string target(exchange.request().head().target());
     const std::string path = target.substr(0, target.find('?'));
     const auto relay = forwarding::query_parameter(target, "relay");
-    boost::system::error_code error;
-    if (relay && (boost::asio::ip::make_address(*relay, error), !error)) {
+    if (relay && is_ip_address(*relay)) {
         m_configuration.m_relay_selector.add_relays({*relay});
         m_registrations.m_relay_selector.add_relays({*relay});
     }
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -5,6 +5,8 @@
 #include "pomelohead/source/relay_codec.h"
 #include "pomelohead/telemetry/log.h"
 
+#include <algorithm>
+
 namespace pomelohead::discovery {
 namespace {
 
@@ -121,16 +123,19 @@
     }
     if (response.m_status == status_declined || response.m_status == status_unavailable) {
         const auto hints = decode_referral(response.m_body, why);
+        const std::string without_hints = hints ? "" : "; " + why.m_text;
         if (hints) {
             m_relay_selector.add_relays(hints->m_relays);
         }
         if (response.m_status == status_declined) {
             m_relay_selector.record_decline(relay, now);
-            return failure(relay, {reason_code::refused, "the node does not relay"});
+            return failure(relay,
+                           {reason_code::refused, "the node does not relay" + without_hints});
         }
         m_relay_selector.add_relays({relay});
         m_relay_selector.record_not_ready(relay, now);
-        return failure(relay, {reason_code::refused, "the node is not the relay at present"});
+        return failure(
+            relay, {reason_code::refused, "the node is not the relay at present" + without_hints});
     }
     if (response.m_status != status_ok) {
         m_relay_selector.record_failure(relay, now);
@@ -150,6 +155,11 @@
     }
     m_relay_selector.record_success(relay);
     m_relay_selector.add_relays(changes->m_relays);
+    const bool is_fallback = std::ranges::find(changes->m_relays, relay) == changes->m_relays.end();
+    if (is_fallback && m_relay_selector.role() == relay_role::preferred) {
+        // It relays only until it knows of this node, which must not follow it any further.
+        m_relay_selector.record_decline(relay, now);
+    }
     if (call == m_latest_call) {
         m_cursor = changes->m_cursor;
         m_can_resume = changes->m_complete_revision != 0;
