Revert "Routing: unreachable targets are tried once for each call"

A mark of unreachable is often wrong on an overloaded fleet, and the further attempts reached a target. A failed try; its test goes with it.

--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -71,8 +71,15 @@
                                                            const std::vector<std::string>& tried,
                                                            reason& why)
 {
-    return m_selector.choose_or_probe(config, service, call, tried, m_reachable, m_timers.now(),
-                                      m_random, why);
+    const time_point now = m_timers.now();
+    auto target = m_selector.choose(config, service, call, tried, m_reachable, now, m_random, why);
+    if (!target) {
+        // Membership may be wrong about all targets, for example after a network partition; a
+        // refused connection is a cheap and certain test.
+        const routing::reachable_fn any_target = [](const config::target&) { return true; };
+        target = m_selector.choose(config, service, call, tried, any_target, now, m_random, why);
+    }
+    return target;
 }
 
 void entry_service::set_blocked_owners(std::set<std::string> addresses)
--- a/pomelohead/routing/owner_selector.cc
+++ b/pomelohead/routing/owner_selector.cc
@@ -199,18 +199,6 @@
     return *std::ranges::min_element(drawn, {}, cost)->m_target;
 }
 
-std::optional<config::target> owner_selector::choose_or_probe(
-    const config::snapshot& config, const config::service& service, const call_attributes& call,
-    const std::vector<std::string>& excluded_targets, const reachable_fn& reachable, time_point now,
-    std::mt19937_64& random, reason& why)
-{
-    auto target = choose(config, service, call, excluded_targets, reachable, now, random, why);
-    if (!target && excluded_targets.empty()) {
-        target = choose(config, service, call, {}, {}, now, random, why);
-    }
-    return target;
-}
-
 void owner_selector::record_start(const std::string& target, work_class work, time_point now)
 {
     m_views[target].record_start(work, now);
--- a/pomelohead/routing/owner_selector.h
+++ b/pomelohead/routing/owner_selector.h
@@ -57,15 +57,6 @@
            const call_attributes& call, const std::vector<std::string>& excluded_targets,
            const reachable_fn& reachable, time_point now, std::mt19937_64& random, reason& why);
 
-    /// Like choose(), but if no target is reachable, the first attempt of a call goes to one
-    /// nevertheless: the failures may be over, for example after a network partition. Further
-    /// attempts would only delay the refusal.
-    [[nodiscard]] std::optional<config::target>
-    choose_or_probe(const config::snapshot& config, const config::service& service,
-                    const call_attributes& call, const std::vector<std::string>& excluded_targets,
-                    const reachable_fn& reachable, time_point now, std::mt19937_64& random,
-                    reason& why);
-
     void record_start(const std::string& target, config::work_class work, time_point now);
     void record_finish(const std::string& target, config::work_class work, attempt_result result,
                        duration latency, time_point now);
--- a/pomelohead/routing/owner_selector_test.cc
+++ b/pomelohead/routing/owner_selector_test.cc
@@ -123,27 +123,6 @@
     }
 }
 
-// Load: a host is cut off, so that each attempt ends only with its connect timeout. A call then
-// costs its caller one attempt, not as many as the call may have; a refused target that can be
-// reached does not lead to those that cannot.
-BOOST_AUTO_TEST_CASE(unreachable_targets_are_tried_once_for_each_call)
-{
-    selector_fixture e(6);
-    reason why;
-    const auto choose = [&](const std::vector<std::string>& tried) {
-        return e.m_selector.choose_or_probe(e.m_config, e.m_config.m_services[0], e.m_call, tried,
-                                            e.m_reachable, e.m_now, e.m_random, why);
-    };
-    e.m_reachable = [](const config::target&) { return false; };
-    const auto first = choose({});
-    BOOST_REQUIRE(first);
-    BOOST_TEST(!choose({first->m_name}));
-    BOOST_TEST((why.m_code == reason_code::unreachable));
-    e.m_reachable = [](const config::target& t) { return t.m_name == "rota-2"; };
-    BOOST_TEST(choose({})->m_name == "rota-2");
-    BOOST_TEST(!choose({"rota-2"}));
-}
-
 BOOST_AUTO_TEST_CASE(own_failure_domain_is_preferred_until_its_queue_costs_more)
 {
     selector_fixture entry(3);
