Store follower: log lines for lists, ignored items and lost histories

Cause: after a restore of the store the logs said nothing between its return and wrong answers, so that the three hypotheses could not be told apart. No decision changes.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -102,6 +102,20 @@
         log_event(log_level::warning, "store_lost",
                   {{"part", part.m_name}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
     };
+    hooks.m_on_history_lost = [&part](const source::store_answer& answer) {
+        log_event(log_level::info, "store_history_lost",
+                  {{"part", part.m_name},
+                   {"epoch", answer.m_epoch},
+                   {"after", part.m_follower->status().m_revision}});
+    };
+    hooks.m_on_listed = [&part](const source::list_summary& list) {
+        log_event(log_level::info, "store_listed",
+                  {{"part", part.m_name},
+                   {"epoch", list.m_epoch},
+                   {"revision", list.m_revision},
+                   {"ignored", list.m_ignored},
+                   {"relayed", list.m_relayed}});
+    };
     hooks.m_on_contact_regained = [&part] {
         log_event(log_level::info, "store_reached", {{"part", part.m_name}});
     };
--- a/pomelohead/forwarding/http_get.h
+++ b/pomelohead/forwarding/http_get.h
@@ -21,9 +21,10 @@
     std::size_t m_max_bytes = 16UL * 1024UL * 1024UL;
 };
 
-/// A status and a body.
+/// A response in full.
 struct full_response {
     unsigned m_status = 0;
+    http::fields m_fields;
     std::string m_body;
 };
 
--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -68,6 +68,8 @@
 /// Result of a list (one page) or of a watch (changes).
 struct store_answer {
     store_status m_status = store_status::failed;
+    /// Rises each time that the store has been restored from a copy; 0: not stated.
+    std::uint64_t m_epoch = 0;
     std::uint64_t m_revision = 0; ///< revision of the store up to which the answer is complete
     std::vector<key_change> m_items;
     std::vector<key_revision> m_unchanged; ///< complete list only: keys named without a value
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -45,6 +45,7 @@
 void store_follower::mark_all_unlisted()
 {
     m_list_revision = 0;
+    m_list_ignored = 0;
     m_list_has_changes = false;
     for (auto& [key, known] : m_keys) {
         known.m_in_list = false;
@@ -87,6 +88,7 @@
     if (after.empty()) {
         mark_all_unlisted();
         m_list_revision = page.m_revision;
+        m_list_epoch = page.m_epoch;
         m_list_relayed = page.m_relayed;
     }
     if (!mark_unchanged(page.m_unchanged)) {
@@ -117,6 +119,7 @@
     }
     const bool is_first = !std::exchange(m_status.m_listed, true);
     m_status.m_revision = std::max(m_status.m_revision, m_list_revision);
+    m_hooks.m_on_listed({m_list_epoch, m_list_revision, m_list_ignored, m_list_relayed});
     m_hooks.m_on_answer_applied();
     if (m_options.m_list_after_changes && m_list_has_changes && !is_first && !m_list_relayed) {
         schedule_list(m_options.m_batch_delay);
@@ -146,6 +149,7 @@
 {
     if (changes.m_status == store_status::history_lost) {
         on_success(changes);
+        m_hooks.m_on_history_lost(changes);
         list_changed();
         return;
     }
@@ -191,6 +195,7 @@
 {
     known_key& known = m_keys[change.m_key];
     if (change.m_revision < known.m_revision) {
+        ++m_list_ignored;
         return;
     }
     known.m_removal_pending = false;
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -42,6 +42,16 @@
                               .m_max_bound = milliseconds(1'000)};
 };
 
+/// What a complete list has brought.
+struct list_summary {
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_revision = 0;
+    std::size_t m_ignored = 0; ///< items with an older revision than the known value's
+    bool m_relayed = false;
+
+    bool operator==(const list_summary&) const = default;
+};
+
 struct follower_hooks {
     std::function<void(const list_request&, std::function<void(store_answer)>)> m_list;
     std::function<void(const watch_request&, std::function<void(store_answer)>)> m_watch;
@@ -51,6 +61,9 @@
     std::function<void(const reason&)>
         m_on_contact_lost;                       ///< the first failed call after successful ones
     std::function<void()> m_on_contact_regained; ///< the first successful call after failed ones
+    /// The store does not have the changes after the watched revision.
+    std::function<void(const store_answer&)> m_on_history_lost = [](const store_answer&) {};
+    std::function<void(const list_summary&)> m_on_listed = [](const list_summary&) {};
 };
 
 /// State of the contact with the store.
@@ -119,7 +132,9 @@
     follower_status m_status;
     std::uint64_t m_generation = 0;    // answers to calls of an earlier generation are ignored
     std::uint64_t m_list_revision = 0; // of the first page of the current list
-    bool m_list_has_changes = false;   // the current list had a new or changed value
+    std::uint64_t m_list_epoch = 0;
+    std::size_t m_list_ignored = 0;
+    bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
     bool m_failure_reported = false; // m_on_contact_lost has been called since the start
     bool m_had_contact = false;      // a call has succeeded since the start
