Store revisions: a number counts within an epoch of the store only

Cause: revisions were kept and compared as numbers that only rise, in the store's follower (values, the revision to watch from), in relays (what a follower knows) and in the choice of a relay (which is behind). A restored store gives out the same numbers again. Change: source/revision.h, a value of epoch and number, in all these places and between nodes; what an answer's epoch means for its reader is one pure function. Evidence: on the code before, changes_of_a_restored_store_are_reported_whatever_their_revisions ended with a stack overflow (list, lost history, list without end, as the stand-in answers at once) and a_restored_store_gets_no_more_calls_than_another did not end within 20 s; both pass now.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -105,14 +105,15 @@
     hooks.m_on_history_lost = [&part](const source::store_answer& answer) {
         log_event(log_level::info, "store_history_lost",
                   {{"part", part.m_name},
-                   {"epoch", answer.m_epoch},
-                   {"after", part.m_follower->status().m_revision}});
+                   {"epoch", answer.m_revision.m_epoch},
+                   {"after_epoch", part.m_follower->status().m_revision.m_epoch},
+                   {"after", part.m_follower->status().m_revision.m_number}});
     };
     hooks.m_on_listed = [&part](const source::list_summary& list) {
         log_event(log_level::info, "store_listed",
                   {{"part", part.m_name},
-                   {"epoch", list.m_epoch},
-                   {"revision", list.m_revision},
+                   {"epoch", list.m_revision.m_epoch},
+                   {"revision", list.m_revision.m_number},
                    {"ignored", list.m_ignored},
                    {"relayed", list.m_relayed}});
     };
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -242,6 +242,33 @@
     });
 }
 
+// Relays and their followers compare revisions too: after a restore, what the store gives out must
+// reach every node, also those that the relay had told of higher revisions.
+BOOST_AUTO_TEST_CASE(all_nodes_receive_the_changes_of_a_restored_store)
+{
+    for (const int written : {0, 1, 5}) {
+        testing::run_in_fiber([written](boost::asio::io_context& io) {
+            failure_domain_fixture d(io);
+            BOOST_TEST(d.all_nodes_have("target-0"));
+            sleep_for(300ms);
+            d.m_store.take_copy();
+            for (int i = 0; i < 3; ++i) {
+                d.m_store.put("lost-" + std::to_string(i), "10.9.0." + std::to_string(i));
+            }
+            BOOST_TEST(d.all_nodes_have("lost-2"));
+            d.m_store.restore();
+            const std::size_t before = d.m_store.calls();
+            for (int i = 0; i < written; ++i) {
+                d.m_store.put("new-" + std::to_string(i), "10.9.1." + std::to_string(i));
+            }
+            d.m_store.put("last", "10.9.2.1");
+            BOOST_TEST(d.all_nodes_have("last"));
+            BOOST_TEST((written == 0 || d.all_nodes_have("new-" + std::to_string(written - 1))));
+            BOOST_TEST(d.m_store.calls() - before <= 20U * node_count);
+        });
+    }
+}
+
 // A node without access to the store receives changes through its failure domain's relay.
 BOOST_AUTO_TEST_CASE(node_without_store_access_follows_the_relay)
 {
@@ -397,9 +424,9 @@
 {
     testing::run_in_fiber([](boost::asio::io_context& io) {
         source::relay feed(1'000);
-        feed.put({"target-0", 11, address_of(0)}); // the revisions that the store gives below
-        feed.put({"configuration", 12, "1"});
-        feed.set_complete_revision(12);
+        feed.put({"target-0", {1, 11}, address_of(0)}); // the revisions that the store gives below
+        feed.put({"configuration", {1, 12}, "1"});
+        feed.set_complete_revision({1, 12});
         fiber_event stopped;
         forwarding::http_server silent(
             io, {address_of(0), relay_port}, {}, [&](forwarding::server_exchange& exchange) {
@@ -409,7 +436,7 @@
                 forwarding::http::header<false> head;
                 head.result(200);
                 reason why;
-                exchange.respond(std::move(head), source::encode(feed.list(0)),
+                exchange.respond(std::move(head), source::encode(feed.list({})),
                                  clock_type::now() + 1s, why);
             });
         reason why;
--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -169,7 +169,8 @@
     }
     auto changes =
         cursor ? part.m_relay.changes_after(*cursor)
-               : part.m_relay.list(number_parameter(target, "known", UINT64_MAX).value_or(0));
+               : part.m_relay.list({number_parameter(target, "epoch", UINT64_MAX).value_or(0),
+                                    number_parameter(target, "known", UINT64_MAX).value_or(0)});
     if (!changes) {
         return answer(exchange, status_gone, {});
     }
--- a/pomelohead/discovery/relay_server.h
+++ b/pomelohead/discovery/relay_server.h
@@ -1,8 +1,9 @@
 // HTTP server for other nodes: relays the store's changes to those of the failure domain that
 // follow this node, and tells starting nodes where to find a relay.
 //
-//     GET /relay/PART?known=R&wait_ms=M    all keys of the part, without the values up to revision
-//                                          R; waits up to M ms until this node can answer
+//     GET /relay/PART?epoch=E&known=R&wait_ms=M   all keys of the part, without the values up to
+//                                          revision R of epoch E; waits up to M ms until this node
+//                                          can answer
 //     GET /relay/PART?cursor=N&wait_ms=M   changes after N; waits up to M ms for one
 //     GET /relay/members?domain=D&wait_ms=M   a referral to the members of a failure domain; waits
 //                                          up to M ms until they are known
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -30,7 +30,7 @@
     store_answer answer;
     answer.m_status = store_status::ok;
     answer.m_revision =
-        changes.m_complete_revision != 0 ? changes.m_complete_revision : changes.m_revision;
+        changes.m_complete_revision.is_none() ? changes.m_revision : changes.m_complete_revision;
     answer.m_unchanged = changes.m_unchanged;
     answer.m_relayed = true;
     for (const source::relayed_item& item : changes.m_items) {
@@ -170,7 +170,7 @@
     }
     if (call == m_latest_call) {
         m_cursor = changes->m_cursor;
-        m_can_resume = changes->m_complete_revision != 0;
+        m_can_resume = !changes->m_complete_revision.is_none();
     }
     m_newest_revision = std::max(m_newest_revision, changes->m_revision);
     return std::move(*answer);
@@ -179,7 +179,7 @@
 // Lists from the first relay that answers within `limit`; nullopt if none does. `failed_relay` is
 // the one that this node followed until now.
 std::optional<store_answer>
-relayed_store::list_from_relays(std::uint64_t known_revision, duration limit,
+relayed_store::list_from_relays(const source::store_revision& known_revision, duration limit,
                                 const std::optional<std::string>& failed_relay)
 {
     const std::string failed_parameter = failed_relay ? "&failed=" + *failed_relay : "";
@@ -193,10 +193,12 @@
         // The relay holds the request for part of the time, so that its refusal still arrives.
         const duration hold = (end - now) * 3 / 4;
         const pool_ptr pool = pool_of(*relay);
-        store_answer all = query(*pool, *relay,
-                                 "?known=" + std::to_string(known_revision) + "&wait_ms=" +
-                                     std::to_string(whole_ms(hold)) + failed_parameter,
-                                 end - now);
+        store_answer all =
+            query(*pool, *relay,
+                  "?epoch=" + std::to_string(known_revision.m_epoch) +
+                      "&known=" + std::to_string(known_revision.m_number) +
+                      "&wait_ms=" + std::to_string(whole_ms(hold)) + failed_parameter,
+                  end - now);
         if (all.m_status == store_status::ok) {
             switch_to(relay, pool);
             return all;
@@ -218,7 +220,7 @@
 {
     if (request.m_after.empty()) {
         const duration limit =
-            request.m_known_revision == 0 ? first_list_limit : m_options.m_timing.m_search;
+            request.m_known_revision.is_none() ? first_list_limit : m_options.m_timing.m_search;
         if (auto all = list_from_relays(request.m_known_revision, limit)) {
             return std::move(*all);
         }
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -49,7 +49,7 @@
                                                const forwarding::full_response& response);
     [[nodiscard]] source::store_answer failure(const std::string& relay, const reason& why) const;
     [[nodiscard]] std::optional<source::store_answer>
-    list_from_relays(std::uint64_t known_revision, duration limit,
+    list_from_relays(const source::store_revision& known_revision, duration limit,
                      const std::optional<std::string>& failed_relay = std::nullopt);
     [[nodiscard]] source::store_answer watch_store(const source::watch_request& request);
     [[nodiscard]] milliseconds direct_watch_wait(milliseconds asked) const;
@@ -69,9 +69,9 @@
     forwarding::in_flight_calls m_in_flight;
     // Identifies the latest call: an earlier call that ends later must not set the cursor.
     std::uint64_t m_latest_call = 0;
-    std::uint64_t m_cursor = 0;          ///< of m_relay
-    std::uint64_t m_newest_revision = 0; ///< of the part, from relays and the store
-    bool m_can_resume = false;           ///< the latest answer was complete up to its revision
+    std::uint64_t m_cursor = 0;               ///< of m_relay
+    source::store_revision m_newest_revision; ///< of the part, from relays and the store
+    bool m_can_resume = false;                ///< the latest answer was complete up to its revision
     bool m_cancelled = false;
 };
 
--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -31,7 +31,8 @@
     }
 }
 
-void snapshot_builder::apply_configuration(config::snapshot received, std::uint64_t revision)
+void snapshot_builder::apply_configuration(config::snapshot received,
+                                           const source::store_revision& revision)
 {
     const std::string subject = "configuration " + std::to_string(received.m_version);
     if (m_configuration && received.m_version <= m_configuration->m_version) {
@@ -55,7 +56,8 @@
     log_event(log_level::info, "configuration_accepted",
               {{"version", received.m_version},
                {"was", m_configuration ? m_configuration->m_version : 0},
-               {"revision", revision},
+               {"epoch", revision.m_epoch},
+               {"revision", revision.m_number},
                {"routes", received.m_routes.size()}});
     m_configuration = std::move(received);
     m_changed = true;
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -13,7 +13,7 @@
 //   - Of two registrations at one address, only that of the later start is in the snapshot.
 //
 //     snapshot_builder builder(decode, on_snapshot);
-//     builder.put({.m_key = "configuration", .m_revision = 7, .m_value = bytes});
+//     builder.put({.m_key = "configuration", .m_revision = {1, 7}, .m_value = bytes});
 //     builder.publish();    // builds a snapshot if anything has changed
 #pragma once
 
@@ -67,7 +67,7 @@
     [[nodiscard]] const reason& last_refusal() const { return m_last_refusal; }
 
 private:
-    void apply_configuration(config::snapshot received, std::uint64_t revision);
+    void apply_configuration(config::snapshot received, const source::store_revision& revision);
     void apply_instance(const std::string& key, instance received);
     void reject(const std::string& key, reason why);
     /// The registrations but for those of ended targets whose address another one has taken over.
--- a/pomelohead/discovery/snapshot_builder_test.cc
+++ b/pomelohead/discovery/snapshot_builder_test.cc
@@ -60,13 +60,13 @@
     {
         const std::string name = std::to_string(m_values.size());
         m_values.emplace(name, std::move(value));
-        m_snapshot_builder.put({key, ++m_revision, name});
+        m_snapshot_builder.put({key, {m_epoch, ++m_revision}, name});
         m_snapshot_builder.publish();
     }
 
     void put_unreadable(const std::string& key)
     {
-        m_snapshot_builder.put({key, ++m_revision, "?"});
+        m_snapshot_builder.put({key, {m_epoch, ++m_revision}, "?"});
         m_snapshot_builder.publish();
     }
 
@@ -81,6 +81,7 @@
     }
 
     std::map<std::string, decoded_value> m_values;
+    std::uint64_t m_epoch = 1;
     std::uint64_t m_revision = 0;
     int m_snapshots = 0;
     snapshot_builder m_snapshot_builder;
--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -1,8 +1,8 @@
 // Interface of a key-value store that can be listed and watched.
 //
 // It is an alternative to the service of source_client.h: here the configuration is one
-// value, and other values change independently of it. All keys share one revision
-// counter, which increases with each change.
+// value, and other values change independently of it. All keys share one history of
+// revisions (revision.h).
 //
 //     store_answer page = store.list({.m_after = last_key});   // in a fiber
 //     store_answer changes = store.watch({.m_after = page.m_revision, .m_wait = 20s});
@@ -10,6 +10,7 @@
 
 #include "pomelohead/runtime/reason.h"
 #include "pomelohead/runtime/timer_service.h"
+#include "pomelohead/source/revision.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,7 +26,7 @@
 /// A key's value at one revision, or its removal.
 struct key_change {
     std::string m_key;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::optional<std::string> m_value; ///< nothing if the key was removed
 
     bool operator==(const key_change&) const = default;
@@ -34,7 +35,7 @@
 /// A present key and the revision of its value.
 struct key_revision {
     std::string m_key;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
 
     bool operator==(const key_revision&) const = default;
 };
@@ -43,8 +44,8 @@
 struct list_request {
     std::string m_after; ///< the page starts after this key; empty: at the first key
     /// The caller has all changes up to this revision, so the answer may name the keys that have
-    /// not changed since without their values; 0: the caller has nothing.
-    std::uint64_t m_known_revision = 0;
+    /// not changed since without their values; none: the caller has nothing.
+    store_revision m_known_revision;
     milliseconds m_limit{1'500}; ///< how long the store may be silent
 
     bool operator==(const list_request&) const = default;
@@ -52,7 +53,7 @@
 
 /// Waits for changes.
 struct watch_request {
-    std::uint64_t m_after = 0; ///< returns changes with a revision above this one
+    store_revision m_after;    ///< returns changes with a revision above this one
     milliseconds m_wait{0};    ///< the store answers after this time even without changes
     milliseconds m_slack{700}; ///< how long the store may be silent beyond that
 
@@ -61,16 +62,14 @@
 
 enum class store_status {
     ok,
-    history_lost, ///< the watch's revision is older than the history that the store keeps
+    history_lost, ///< the store does not have the changes after the watch's revision
     failed,       ///< see m_why
 };
 
 /// Result of a list (one page) or of a watch (changes).
 struct store_answer {
     store_status m_status = store_status::failed;
-    /// Rises each time that the store has been restored from a copy; 0: not stated.
-    std::uint64_t m_epoch = 0;
-    std::uint64_t m_revision = 0; ///< revision of the store up to which the answer is complete
+    store_revision m_revision; ///< of the store, up to which the answer is complete
     std::vector<key_change> m_items;
     std::vector<key_revision> m_unchanged; ///< complete list only: keys named without a value
     bool m_has_more = false;               ///< list only: more pages follow
--- a/pomelohead/source/relay.cc
+++ b/pomelohead/source/relay.cc
@@ -19,7 +19,7 @@
     m_on_change();
 }
 
-void relay::remove(const std::string& key, std::uint64_t revision)
+void relay::remove(const std::string& key, const store_revision& revision)
 {
     const auto it = m_entries.find(key);
     if (it == m_entries.end() || it->second.m_is_tombstone) {
@@ -63,7 +63,7 @@
     return {key, state.m_revision, state.m_packed_value};
 }
 
-relayed_changes relay::list(std::uint64_t known_revision)
+relayed_changes relay::list(const store_revision& known_revision)
 {
     relayed_changes all = empty_changes();
     for (auto& [key, state] : m_entries) {
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -9,8 +9,8 @@
 // changed since and only the names of the others.
 //
 //     relay feed(incarnation);
-//     feed.put({.m_key = "a", .m_revision = 7, .m_value = "1"});
-//     relayed_changes all = feed.list(0);
+//     feed.put({.m_key = "a", .m_revision = {1, 7}, .m_value = "1"});
+//     relayed_changes all = feed.list({});
 //     std::optional<relayed_changes> later = feed.changes_after(all.m_cursor);
 #pragma once
 
@@ -25,7 +25,7 @@
 /// The newest state of one key.
 struct relayed_item {
     std::string m_key;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::optional<packed_value> m_value; ///< nothing if the key was removed
 
     bool operator==(const relayed_item&) const = default;
@@ -34,10 +34,10 @@
 /// The changes between two cursors.
 struct relayed_changes {
     std::uint64_t m_cursor = 0;
-    std::uint64_t m_revision = 0; ///< the store's revision of the newest change to this part
+    store_revision m_revision; ///< the store's revision of the newest change to this part
     /// The store's revision up to which the relay has all changes, so that a follower can watch the
-    /// store after it; 0 while that is not certain.
-    std::uint64_t m_complete_revision = 0;
+    /// store after it; none while that is not certain.
+    store_revision m_complete_revision;
     std::vector<relayed_item> m_items;
     std::vector<key_revision> m_unchanged; ///< list only: present keys that the follower has
     std::vector<std::string> m_relays; ///< addresses of the nodes that can relay, this one included
@@ -62,19 +62,19 @@
     }
 
     void put(const key_change& change);
-    void remove(const std::string& key, std::uint64_t revision);
+    void remove(const std::string& key, const store_revision& revision);
 
     /// Sets from where this node has the changes at the moment.
     void set_feed(relay_feed feed);
     [[nodiscard]] relay_feed feed() const { return m_feed; }
 
     /// Sets relayed_changes::m_complete_revision of the answers from now on.
-    void set_complete_revision(std::uint64_t revision) { m_complete_revision = revision; }
+    void set_complete_revision(const store_revision& revision) { m_complete_revision = revision; }
 
     [[nodiscard]] std::uint64_t cursor() const { return m_cursor; }
 
     /// All present keys, with the values that are newer than `known_revision`.
-    [[nodiscard]] relayed_changes list(std::uint64_t known_revision);
+    [[nodiscard]] relayed_changes list(const store_revision& known_revision);
 
     /// The changes after `cursor`. Returns nothing if the relay cannot tell what changed since.
     [[nodiscard]] std::optional<relayed_changes> changes_after(std::uint64_t cursor);
@@ -85,7 +85,7 @@
 private:
     // Values are packed on the first request for them: most nodes never get a request.
     struct entry {
-        std::uint64_t m_revision = 0;
+        store_revision m_revision;
         std::uint64_t m_cursor = 0;
         bool m_is_tombstone = false;
         std::string m_value;
@@ -101,8 +101,8 @@
 
     std::uint64_t m_cursor;
     std::uint64_t m_oldest_cursor; ///< older cursors cannot be answered
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_complete_revision = 0;
+    store_revision m_revision;
+    store_revision m_complete_revision;
     relay_feed m_feed = relay_feed::none;
     std::map<std::string, entry> m_entries;
     std::size_t m_tombstone_count = 0; ///< entries that are tombstones
--- a/pomelohead/source/relay_codec.cc
+++ b/pomelohead/source/relay_codec.cc
@@ -9,14 +9,28 @@
 
 using json = nlohmann::json;
 
-constexpr unsigned max_nesting_depth = 3;
+constexpr unsigned max_nesting_depth = 4;
 constexpr std::size_t change_field_count = 6;
 constexpr std::size_t removal_field_count = 2;
 constexpr std::size_t value_field_count = 5;
 
+json to_json(const store_revision& revision)
+{
+    return json::array({revision.m_epoch, revision.m_number});
+}
+
+std::optional<store_revision> revision_from_json(const json& in)
+{
+    if (!in.is_array() || in.size() != 2 || !in[0].is_number_unsigned() ||
+        !in[1].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return store_revision{in[0].get<std::uint64_t>(), in[1].get<std::uint64_t>()};
+}
+
 json item_to_json(const relayed_item& item)
 {
-    json out = json::array({item.m_key, item.m_revision});
+    json out = json::array({item.m_key, to_json(item.m_revision)});
     if (item.m_value) {
         const std::string& bytes = item.m_value->m_bytes;
         out.push_back(item.m_value->m_size);
@@ -29,10 +43,14 @@
 std::optional<relayed_item> item_from_json(const json& in)
 {
     if (!in.is_array() || (in.size() != removal_field_count && in.size() != value_field_count) ||
-        !in[0].is_string() || !in[1].is_number_unsigned()) {
+        !in[0].is_string()) {
+        return std::nullopt;
+    }
+    const auto revision = revision_from_json(in[1]);
+    if (!revision) {
         return std::nullopt;
     }
-    relayed_item item{in[0].get<std::string>(), in[1].get<std::uint64_t>(), std::nullopt};
+    relayed_item item{in[0].get<std::string>(), *revision, std::nullopt};
     if (in.size() == value_field_count) {
         if (!in[2].is_number_unsigned() || !in[3].is_boolean() || !in[4].is_binary()) {
             return std::nullopt;
@@ -54,11 +72,12 @@
     }
     json unchanged = json::array();
     for (const key_revision& present : changes.m_unchanged) {
-        unchanged.push_back(json::array({present.m_key, present.m_revision}));
+        unchanged.push_back(json::array({present.m_key, to_json(present.m_revision)}));
     }
     std::string out;
-    json::to_cbor(json::array({changes.m_cursor, changes.m_revision, changes.m_complete_revision,
-                               std::move(items), std::move(unchanged), changes.m_relays}),
+    json::to_cbor(json::array({changes.m_cursor, to_json(changes.m_revision),
+                               to_json(changes.m_complete_revision), std::move(items),
+                               std::move(unchanged), changes.m_relays}),
                   out);
     return out;
 }
@@ -71,16 +90,15 @@
     }
     const json in = json::from_cbor(bytes, true, false);
     if (!in.is_array() || in.size() != change_field_count || !in[0].is_number_unsigned() ||
-        !in[1].is_number_unsigned() || !in[2].is_number_unsigned() || !in[3].is_array() ||
-        !in[4].is_array() || !in[5].is_array()) {
+        !in[3].is_array() || !in[4].is_array() || !in[5].is_array()) {
+        return std::nullopt;
+    }
+    const auto revision = revision_from_json(in[1]);
+    const auto complete_revision = revision_from_json(in[2]);
+    if (!revision || !complete_revision) {
         return std::nullopt;
     }
-    relayed_changes changes{in[0].get<std::uint64_t>(),
-                            in[1].get<std::uint64_t>(),
-                            in[2].get<std::uint64_t>(),
-                            {},
-                            {},
-                            {}};
+    relayed_changes changes{in[0].get<std::uint64_t>(), *revision, *complete_revision, {}, {}, {}};
     for (const json& entry : in[3]) {
         auto item = item_from_json(entry);
         if (!item) {
--- a/pomelohead/source/relay_test.cc
+++ b/pomelohead/source/relay_test.cc
@@ -39,17 +39,17 @@
 BOOST_AUTO_TEST_CASE(changes_hold_only_the_newest_value_of_each_key)
 {
     relay feed(1'000);
-    feed.put({"a", 5, "1"});
-    feed.put({"b", 6, "1"});
-    const relayed_changes all = feed.list(0);
+    feed.put({"a", {1, 5}, "1"});
+    feed.put({"b", {1, 6}, "1"});
+    const relayed_changes all = feed.list({});
     key_values applied;
     apply_changes(all, applied);
     BOOST_TEST((applied == key_values{{"a", "1"}, {"b", "1"}}));
 
-    feed.put({"a", 7, "2"});
-    feed.put({"a", 8, "3"});
-    feed.remove("b", 9);
-    feed.put({"c", 10, "1"});
+    feed.put({"a", {1, 7}, "2"});
+    feed.put({"a", {1, 8}, "3"});
+    feed.remove("b", {1, 9});
+    feed.put({"c", {1, 10}, "1"});
     const auto later = feed.changes_after(all.m_cursor);
     BOOST_REQUIRE(later);
     BOOST_TEST(later->m_items.size() == 3U);
@@ -62,41 +62,41 @@
 BOOST_AUTO_TEST_CASE(a_list_omits_the_values_that_the_follower_knows)
 {
     relay feed(1'000);
-    feed.put({"a", 5, "1"});
-    feed.put({"b", 7, "1"});
-    feed.put({"c", 6, "1"});
-    feed.remove("c", 8);
-    feed.set_complete_revision(9);
-    const relayed_changes part = feed.list(5);
-    BOOST_TEST((part.m_unchanged == std::vector<key_revision>{{"a", 5}}));
+    feed.put({"a", {1, 5}, "1"});
+    feed.put({"b", {1, 7}, "1"});
+    feed.put({"c", {1, 6}, "1"});
+    feed.remove("c", {1, 8});
+    feed.set_complete_revision({1, 9});
+    const relayed_changes part = feed.list({1, 5});
+    BOOST_TEST((part.m_unchanged == std::vector<key_revision>{{"a", {1, 5}}}));
     BOOST_TEST(part.m_items.size() == 1U);
     BOOST_TEST(part.m_items.at(0).m_key == "b");
-    BOOST_TEST(part.m_complete_revision == 9U);
-    BOOST_TEST(feed.list(0).m_items.size() == 2U);
-    BOOST_TEST(feed.list(9).m_items.empty());
+    BOOST_TEST((part.m_complete_revision == store_revision{1, 9}));
+    BOOST_TEST(feed.list({}).m_items.size() == 2U);
+    BOOST_TEST(feed.list({1, 9}).m_items.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_removal_keeps_the_revision_of_a_newer_value)
 {
     relay feed(1'000);
-    feed.put({"a", 50, "1"});
+    feed.put({"a", {1, 50}, "1"});
     const std::uint64_t cursor = feed.cursor();
-    feed.remove("a", 40); // the follower's revision lags until one answer is processed
-    BOOST_TEST(feed.changes_after(cursor)->m_items.at(0).m_revision == 50U);
-    BOOST_TEST(feed.list(0).m_items.empty());
-    feed.remove("a", 60); // already removed
-    feed.remove("never", 60);
+    feed.remove("a", {1, 40}); // the follower's revision lags until one answer is processed
+    BOOST_TEST((feed.changes_after(cursor)->m_items.at(0).m_revision == store_revision{1, 50}));
+    BOOST_TEST(feed.list({}).m_items.empty());
+    feed.remove("a", {1, 60}); // already removed
+    feed.remove("never", {1, 60});
     BOOST_TEST(feed.changes_after(cursor)->m_items.size() == 1U);
-    feed.put({"a", 61, "back"});
-    BOOST_TEST(feed.list(0).m_items.size() == 1U);
+    feed.put({"a", {1, 61}, "back"});
+    BOOST_TEST(feed.list({}).m_items.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(cursors_of_another_start_are_rejected)
 {
     relay earlier(1'000);
-    earlier.put({"a", 5, "1"});
+    earlier.put({"a", {1, 5}, "1"});
     relay later(2'000);
-    later.put({"a", 5, "1"});
+    later.put({"a", {1, 5}, "1"});
     BOOST_TEST(!later.changes_after(earlier.cursor()));
     BOOST_TEST(!earlier.changes_after(later.cursor()));
 }
@@ -107,18 +107,18 @@
 {
     relay feed(1'000);
     for (int i = 0; i < 2'000; ++i) {
-        feed.put({"k" + std::to_string(i), static_cast<std::uint64_t>(i) + 1, "1"});
+        feed.put({"k" + std::to_string(i), {1, static_cast<std::uint64_t>(i) + 1}, "1"});
     }
     const std::uint64_t cursor = feed.cursor();
     key_values applied;
-    apply_changes(feed.list(0), applied);
+    apply_changes(feed.list({}), applied);
     for (int i = 0; i < 1'000; ++i) {
-        feed.remove("k" + std::to_string(i), 3'000 + static_cast<std::uint64_t>(i));
+        feed.remove("k" + std::to_string(i), {1, 3'000 + static_cast<std::uint64_t>(i)});
         const auto changes = feed.changes_after(cursor);
         BOOST_TEST((!changes || changes->m_items.size() == static_cast<std::size_t>(i) + 1));
     }
     BOOST_TEST(!feed.changes_after(cursor));
-    BOOST_TEST(feed.list(0).m_items.size() == 1'000U);
+    BOOST_TEST(feed.list({}).m_items.size() == 1'000U);
 }
 
 BOOST_AUTO_TEST_CASE(changes_and_contact_transitions_call_on_change)
@@ -129,7 +129,7 @@
     feed.set_feed(relay_feed::store);
     feed.set_feed(relay_feed::store);
     BOOST_TEST(notifications == 1);
-    feed.put({"a", 7, "1"});
+    feed.put({"a", {1, 7}, "1"});
     BOOST_TEST(notifications == 2);
     feed.set_feed(relay_feed::none);
     BOOST_TEST(notifications == 3);
@@ -141,13 +141,13 @@
 BOOST_AUTO_TEST_CASE(the_revision_is_that_of_the_newest_change)
 {
     relay feed(1'000);
-    BOOST_TEST(feed.list(0).m_revision == 0U);
-    feed.put({"a", 7, "1"});
-    feed.put({"b", 9, "1"});
-    feed.put({"a", 8, "2"});
-    BOOST_TEST(feed.list(0).m_revision == 9U);
-    feed.remove("b", 12);
-    BOOST_TEST(feed.list(0).m_revision == 12U);
+    BOOST_TEST((feed.list({}).m_revision == store_revision{}));
+    feed.put({"a", {1, 7}, "1"});
+    feed.put({"b", {1, 9}, "1"});
+    feed.put({"a", {1, 8}, "2"});
+    BOOST_TEST((feed.list({}).m_revision == store_revision{1, 9}));
+    feed.remove("b", {1, 12});
+    BOOST_TEST((feed.list({}).m_revision == store_revision{1, 12}));
 }
 
 BOOST_AUTO_TEST_CASE(packed_values_unpack_to_the_original_value)
@@ -188,14 +188,14 @@
 BOOST_AUTO_TEST_CASE(encoded_changes_decode_and_malformed_input_is_rejected)
 {
     relay feed(1'000);
-    feed.put({"a", 5, "1"});
-    feed.put({"b", 6, large_value(4)});
+    feed.put({"a", {1, 5}, "1"});
+    feed.put({"b", {1, 6}, large_value(4)});
     const std::uint64_t cursor = feed.cursor();
-    feed.remove("a", 7);
-    feed.set_complete_revision(9);
-    relayed_changes with_relays = feed.list(5);
+    feed.remove("a", {1, 7});
+    feed.set_complete_revision({1, 9});
+    relayed_changes with_relays = feed.list({1, 5});
     with_relays.m_relays = {"10.1.0.4", "10.1.0.5"};
-    for (const auto& changes : {feed.list(0), *feed.changes_after(cursor), with_relays}) {
+    for (const auto& changes : {feed.list({}), *feed.changes_after(cursor), with_relays}) {
         const std::string bytes = encode(changes);
         reason why;
         const auto decoded = decode_changes(bytes, why);
@@ -208,9 +208,16 @@
     reason why;
     using namespace std::string_view_literals;
     for (const std::string_view bad :
-         {"\x86\x01\x02\x03\x04\x80\x80"sv, "\x86\x01\x02\x03\xa0\x80\x80"sv,
-          "\x86\x01\x02\x03\x81\x82\x01\x02\x80\x80"sv, "\x86\x61\x61\x02\x03\x80\x80\x80"sv,
-          "\x86\x01\x02\x03\x80\x81\x01\x80"sv, "\x86\x01\x02\x03\x80\x80\x81\x01"sv}) {
+         {"\x04\x80\x80"sv, "\xa0\x80\x80"sv, "\x81\x82\x01\x82\x01\x02\x80\x80"sv,
+          "\x81\x82\x61\x61\x02\x80\x80"sv, "\x80\x81\x01\x80"sv, "\x80\x80\x81\x01"sv}) {
+        const std::string with_revisions = "\x86\x01\x82\x01\x02\x82\x01\x03" + std::string(bad);
+        BOOST_TEST(!decode_changes(with_revisions, why));
+        BOOST_TEST((why.m_code == reason_code::malformed));
+    }
+    for (const std::string_view bad :
+         {"\x86\x61\x61\x82\x01\x02\x82\x01\x03\x80\x80\x80"sv,
+          "\x86\x01\x02\x82\x01\x03\x80\x80\x80"sv, "\x86\x01\x81\x02\x82\x01\x03\x80\x80\x80"sv,
+          "\x86\x01\x82\x01\x02\x82\x20\x03\x80\x80\x80"sv}) {
         BOOST_TEST(!decode_changes(bad, why));
         BOOST_TEST((why.m_code == reason_code::malformed));
     }
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -34,17 +34,17 @@
     m_removal_grace_timer.cancel();
 }
 
-std::uint64_t store_follower::complete_revision() const
+store_revision store_follower::complete_revision() const
 {
     const bool is_certain = m_status.m_listed && std::ranges::none_of(m_keys, [](const auto& item) {
                                 return item.second.m_removal_pending;
                             });
-    return is_certain ? m_status.m_revision : 0;
+    return is_certain ? m_status.m_revision : store_revision{};
 }
 
 void store_follower::mark_all_unlisted()
 {
-    m_list_revision = 0;
+    m_list_revision = {};
     m_list_ignored = 0;
     m_list_has_changes = false;
     for (auto& [key, known] : m_keys) {
@@ -52,7 +52,7 @@
     }
 }
 
-void store_follower::list_from(const std::string& after, std::uint64_t known_revision)
+void store_follower::list_from(const std::string& after, const store_revision& known_revision)
 {
     ++m_status.m_calls;
     const std::uint64_t generation = ++m_generation;
@@ -78,17 +78,29 @@
     return true;
 }
 
+// Fails the call if its answer is from before a restore that this follower has seen.
+bool store_follower::is_outdated(const store_answer& answer)
+{
+    if (compare_histories(m_status.m_revision, answer.m_revision) != history_relation::outdated) {
+        return false;
+    }
+    on_failure({reason_code::stale, "the answer is from before the latest restore of the store"});
+    return true;
+}
+
 void store_follower::on_list_page(const std::string& after, const store_answer& page)
 {
     if (page.m_status != store_status::ok) {
         on_failure(page.m_why);
         return;
     }
+    if (is_outdated(page)) {
+        return;
+    }
     on_success(page);
     if (after.empty()) {
         mark_all_unlisted();
         m_list_revision = page.m_revision;
-        m_list_epoch = page.m_epoch;
         m_list_relayed = page.m_relayed;
     }
     if (!mark_unchanged(page.m_unchanged)) {
@@ -119,7 +131,7 @@
     }
     const bool is_first = !std::exchange(m_status.m_listed, true);
     m_status.m_revision = std::max(m_status.m_revision, m_list_revision);
-    m_hooks.m_on_listed({m_list_epoch, m_list_revision, m_list_ignored, m_list_relayed});
+    m_hooks.m_on_listed({m_list_revision, m_list_ignored, m_list_relayed});
     m_hooks.m_on_answer_applied();
     if (m_options.m_list_after_changes && m_list_has_changes && !is_first && !m_list_relayed) {
         schedule_list(m_options.m_batch_delay);
@@ -161,8 +173,17 @@
         on_list_page({}, changes);
         return;
     }
+    if (is_outdated(changes)) {
+        return;
+    }
     on_success(changes);
-    std::map<std::string_view, std::uint64_t> newest;
+    // A relay has listed the restored store itself, so its changes say what is different now.
+    if (!changes.m_relayed &&
+        compare_histories(m_status.m_revision, changes.m_revision) == history_relation::restored) {
+        list_changed();
+        return;
+    }
+    std::map<std::string_view, store_revision> newest;
     for (const key_change& change : changes.m_items) {
         newest[change.m_key] = std::max(newest[change.m_key], change.m_revision);
     }
@@ -206,7 +227,7 @@
     }
 }
 
-void store_follower::apply_removal(const std::string& key, std::uint64_t revision)
+void store_follower::apply_removal(const std::string& key, const store_revision& revision)
 {
     const auto it = m_keys.find(key);
     if (it == m_keys.end() || it->second.m_revision > revision) {
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -10,7 +10,9 @@
 // still missing at the end of the grace.
 //
 // The follower does no I/O: it sends calls through hooks and passes a callback for the
-// answer. It never reports an older revision of a key after a newer one.
+// answer. It never reports an older revision of a key after a newer one. A store that was
+// restored from a copy is listed again: its values replace the known ones, as revisions of a
+// later epoch are newer.
 //
 //     store_follower follower({}, timers, hooks, seed);
 //     follower.start();
@@ -44,8 +46,7 @@
 
 /// What a complete list has brought.
 struct list_summary {
-    std::uint64_t m_epoch = 0;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::size_t m_ignored = 0; ///< items with an older revision than the known value's
     bool m_relayed = false;
 
@@ -70,7 +71,7 @@
 struct follower_status {
     bool m_listed = false; ///< a complete list has been read since the start
     bool m_up = false;     ///< the latest call succeeded
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     bool m_relayed = false; ///< the latest successful call was answered by a relay
     std::uint64_t m_calls = 0;
     std::optional<time_point> m_last_contact;
@@ -97,14 +98,15 @@
 
     [[nodiscard]] const follower_status& status() const { return m_status; }
 
-    /// The store's revision up to which all changes have been reported; 0 before the first list
+    /// The store's revision up to which all changes have been reported; none before the first list
     /// and while removals wait for the end of their grace.
-    [[nodiscard]] std::uint64_t complete_revision() const;
+    [[nodiscard]] store_revision complete_revision() const;
 
 private:
-    void list_from(const std::string& after, std::uint64_t known_revision = 0);
+    void list_from(const std::string& after, const store_revision& known_revision = {});
     void list_changed() { list_from({}, complete_revision()); }
     void schedule_list(duration delay);
+    [[nodiscard]] bool is_outdated(const store_answer& answer);
     void on_list_page(const std::string& after, const store_answer& page);
     void finish_list();
     void watch();
@@ -112,14 +114,14 @@
     void mark_all_unlisted();
     [[nodiscard]] bool mark_unchanged(const std::vector<key_revision>& keys);
     void apply_value(const key_change& change);
-    void apply_removal(const std::string& key, std::uint64_t revision);
+    void apply_removal(const std::string& key, const store_revision& revision);
     void apply_pending_removals();
     void on_failure(const reason& why);
     void on_success(const store_answer& answer);
     [[nodiscard]] bool is_in_removal_grace() const;
 
     struct known_key {
-        std::uint64_t m_revision = 0;
+        store_revision m_revision;
         bool m_removal_pending = false; ///< missing; to be removed at the end of the grace
         bool m_in_list = false;         ///< seen in the current list
     };
@@ -130,9 +132,8 @@
     std::mt19937_64 m_random;
     backoff m_backoff;
     follower_status m_status;
-    std::uint64_t m_generation = 0;    // answers to calls of an earlier generation are ignored
-    std::uint64_t m_list_revision = 0; // of the first page of the current list
-    std::uint64_t m_list_epoch = 0;
+    std::uint64_t m_generation = 0; // answers to calls of an earlier generation are ignored
+    store_revision m_list_revision; // of the first page of the current list
     std::size_t m_list_ignored = 0;
     bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -248,6 +248,57 @@
     BOOST_TEST(fixture.m_values.at("a") == "2");
 }
 
+// A store that is restored from a copy gives revisions out again. Whether its new changes have
+// lower, equal or higher revisions than the lost ones, and whether the watch is cut or goes on, all
+// must be reported, and all keys that stay missing.
+BOOST_AUTO_TEST_CASE(changes_of_a_restored_store_are_reported_whatever_their_revisions)
+{
+    for (const bool keeps_watches : {false, true}) {
+        for (int lost = 1; lost <= 3; ++lost) {
+            for (int written = 0; written <= 5; ++written) {
+                BOOST_TEST_CONTEXT(lost << " changes lost, " << written << " written again, watch "
+                                        << (keeps_watches ? "kept" : "cut"))
+                {
+                    follower_fixture fixture;
+                    fixture.m_store.put("old", "1");
+                    fixture.m_store.put("a", "1");
+                    fixture.m_follower->start();
+                    fixture.m_timers.advance(1s);
+                    fixture.m_store.take_copy();
+                    fixture.m_store.put("lost", "1");
+                    for (int i = 1; i < lost; ++i) {
+                        fixture.m_store.put("a", "lost " + std::to_string(i));
+                    }
+                    fixture.m_timers.advance(1s);
+                    fixture.m_store.restore(keeps_watches);
+                    for (int i = 0; i < written; ++i) {
+                        fixture.m_store.put("a", "new " + std::to_string(i));
+                    }
+                    fixture.m_timers.advance(1s);
+                    fixture.m_store.put("later", "1");
+                    fixture.m_timers.advance(25s); // a watch and the grace
+                    BOOST_TEST((fixture.m_values == fixture.m_store.values()));
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_restored_store_gets_no_more_calls_than_another)
+{
+    follower_fixture fixture;
+    fixture.m_store.put("a", "1");
+    fixture.m_follower->start();
+    fixture.m_timers.advance(1s);
+    fixture.m_store.take_copy();
+    fixture.m_store.put("a", "2");
+    fixture.m_timers.advance(1s);
+    const std::size_t before = fixture.m_store.calls();
+    fixture.m_store.restore();
+    fixture.m_timers.advance(10s);
+    BOOST_TEST(fixture.m_store.calls() - before <= 3U);
+}
+
 } // namespace
 // A list from another relay names unchanged keys without their values. What it does not name is
 // gone, and a revision that differs from the known one shows that the values are needed after all.
@@ -281,31 +332,31 @@
                             std::vector<key_revision> unchanged) {
         store_answer answer;
         answer.m_status = store_status::ok;
-        answer.m_revision = revision;
+        answer.m_revision = {1, revision};
         answer.m_items = std::move(items);
         answer.m_unchanged = std::move(unchanged);
         answer.m_relayed = true;
         return answer;
     };
-    list_answers = {list_of(10, {{"a", 5, "1"}, {"b", 6, "1"}, {"c", 7, "1"}}, {})};
-    store_answer switched = list_of(12, {{"d", 11, "1"}}, {{"a", 5}, {"b", 6}});
+    list_answers = {list_of(10, {{"a", {1, 5}, "1"}, {"b", {1, 6}, "1"}, {"c", {1, 7}, "1"}}, {})};
+    store_answer switched = list_of(12, {{"d", {1, 11}, "1"}}, {{"a", {1, 5}}, {"b", {1, 6}}});
     switched.m_is_complete_list = true;
     watch_answers = {switched};
     store_follower follower({}, timers, hooks, 1);
     follower.start();
     timers.advance(1s);
     BOOST_TEST((values == key_values{{"a", "1"}, {"b", "1"}, {"d", "1"}}));
-    BOOST_TEST(follower.complete_revision() == 12U);
+    BOOST_TEST((follower.complete_revision() == store_revision{1, 12}));
     BOOST_TEST(lists.size() == 1U);
 
-    list_answers = {list_of(13, {}, {{"a", 5}, {"b", 9}}),
-                    list_of(13, {{"a", 5, "1"}, {"b", 9, "2"}}, {})};
+    list_answers = {list_of(13, {}, {{"a", {1, 5}}, {"b", {1, 9}}}),
+                    list_of(13, {{"a", {1, 5}, "1"}, {"b", {1, 9}, "2"}}, {})};
     follower.restart();
     timers.advance(1s);
     BOOST_TEST((values == key_values{{"a", "1"}, {"b", "2"}}));
     BOOST_REQUIRE(lists.size() == 3U);
-    BOOST_TEST(lists.at(1).m_known_revision == 12U);
-    BOOST_TEST(lists.at(2).m_known_revision == 0U);
+    BOOST_TEST((lists.at(1).m_known_revision == store_revision{1, 12}));
+    BOOST_TEST(lists.at(2).m_known_revision.is_none());
 }
 
 // While a removal waits for the end of its grace, nobody may take over from this node's revision:
@@ -314,10 +365,11 @@
 {
     follower_fixture fixture;
     fixture.m_store.put("a", "1");
-    BOOST_TEST(fixture.m_follower->complete_revision() == 0U);
+    BOOST_TEST(fixture.m_follower->complete_revision().is_none());
     fixture.m_follower->start();
     fixture.m_timers.advance(1s);
-    BOOST_TEST(fixture.m_follower->complete_revision() == fixture.m_follower->status().m_revision);
+    BOOST_TEST(
+        (fixture.m_follower->complete_revision() == fixture.m_follower->status().m_revision));
     fixture.m_store.set_mode(store_mode::down);
     fixture.m_store.forget_history();
     fixture.m_timers.advance(5s);
@@ -325,10 +377,10 @@
     fixture.m_store.erase("a");
     fixture.m_timers.advance(1s + 500ms);
     BOOST_TEST(fixture.m_values.contains("a"));
-    BOOST_TEST(fixture.m_follower->complete_revision() == 0U);
+    BOOST_TEST(fixture.m_follower->complete_revision().is_none());
     fixture.m_timers.advance(5s);
     BOOST_TEST(!fixture.m_values.contains("a"));
-    BOOST_TEST(fixture.m_follower->complete_revision() != 0U);
+    BOOST_TEST(!fixture.m_follower->complete_revision().is_none());
 }
 
 } // namespace pomelohead::source
--- a/testing/fake_store.cc
+++ b/testing/fake_store.cc
@@ -12,14 +12,15 @@
     std::list<waiting> woken = std::exchange(m_waiting, {});
     for (waiting& item : woken) {
         if (m_mode == store_mode::up) {
-            item.m_done(changes_after(item.m_request.m_after));
+            item.m_done(changes_after(item.m_request.m_after.m_number));
         }
     }
 }
 
 void fake_store::put(const std::string& key, std::string value)
 {
-    key_change change{key, ++m_revision, std::move(value)};
+    ++m_revision.m_number;
+    key_change change{key, m_revision, std::move(value)};
     m_items[key] = change;
     record(std::move(change));
 }
@@ -27,13 +28,45 @@
 void fake_store::erase(const std::string& key)
 {
     m_items.erase(key);
-    record({key, ++m_revision, std::nullopt});
+    ++m_revision.m_number;
+    record({key, m_revision, std::nullopt});
 }
 
 void fake_store::forget_history()
 {
     m_history.clear();
-    m_compacted_revision = m_revision;
+    m_compacted_revision = m_revision.m_number;
+    cut_watches();
+}
+
+void fake_store::restore(bool keeps_watches)
+{
+    m_revision = {m_revision.m_epoch + 1, m_copy.m_revision};
+    m_compacted_revision = m_copy.m_compacted_revision;
+    m_items = m_copy.m_items;
+    m_history = m_copy.m_history;
+    for (auto& [key, item] : m_items) {
+        item.m_revision.m_epoch = m_revision.m_epoch;
+    }
+    for (key_change& change : m_history) {
+        change.m_revision.m_epoch = m_revision.m_epoch;
+    }
+    if (!keeps_watches) {
+        cut_watches();
+    }
+}
+
+std::map<std::string, std::string> fake_store::values() const
+{
+    std::map<std::string, std::string> out;
+    for (const auto& [key, item] : m_items) {
+        out[key] = *item.m_value;
+    }
+    return out;
+}
+
+void fake_store::cut_watches()
+{
     std::list<waiting> cut = std::exchange(m_waiting, {});
     for (waiting& item : cut) {
         store_answer lost;
@@ -78,14 +111,14 @@
 store_answer fake_store::changes_after(std::uint64_t revision) const
 {
     store_answer answer;
-    if (revision < m_compacted_revision) {
+    if (revision < m_compacted_revision || revision > m_revision.m_number) {
         answer.m_status = store_status::history_lost;
         return answer;
     }
     answer.m_status = store_status::ok;
     answer.m_revision = m_revision;
     for (const key_change& change : m_history) {
-        if (change.m_revision > revision) {
+        if (change.m_revision.m_number > revision) {
             answer.m_items.push_back(change);
         }
     }
@@ -99,7 +132,7 @@
         fail(done);
         return;
     }
-    store_answer now = changes_after(request.m_after);
+    store_answer now = changes_after(request.m_after.m_number);
     if (now.m_status != store_status::ok || !now.m_items.empty()) {
         done(now);
         return;
@@ -108,7 +141,7 @@
     const auto at = std::prev(m_waiting.end());
     at->m_limit = m_timers.after(request.m_wait, [this, at] {
         const done_fn late = std::move(at->m_done);
-        const std::uint64_t after = at->m_request.m_after;
+        const std::uint64_t after = at->m_request.m_after.m_number;
         m_waiting.erase(at);
         late(changes_after(after));
     });
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -35,6 +35,13 @@
     /// Forgets all history, and cuts the watches that wait.
     void forget_history();
 
+    /// Takes the copy that restore() goes back to.
+    void take_copy() { m_copy = {m_revision.m_number, m_compacted_revision, m_items, m_history}; }
+
+    /// Goes back to the copy. What has changed since is lost, its revisions are given out again,
+    /// and a new epoch starts. Cuts the watches that wait unless `keeps_watches`.
+    void restore(bool keeps_watches = false);
+
     /// Called between a page and the next, with the number of pages given so far.
     std::function<void(std::size_t)> m_between_pages;
 
@@ -43,6 +50,9 @@
 
     [[nodiscard]] std::size_t calls() const { return m_calls; }
 
+    /// The present values, by key.
+    [[nodiscard]] std::map<std::string, std::string> values() const;
+
 private:
     struct waiting {
         source::watch_request m_request;
@@ -50,7 +60,16 @@
         timer_subscription m_limit;
     };
 
+    // What restore() goes back to.
+    struct copy {
+        std::uint64_t m_revision = 0;
+        std::uint64_t m_compacted_revision = 0;
+        std::map<std::string, source::key_change> m_items;
+        std::list<source::key_change> m_history;
+    };
+
     [[nodiscard]] source::store_answer changes_after(std::uint64_t revision) const;
+    void cut_watches();
     void record(source::key_change change);
     void fail(const done_fn& done);
 
@@ -58,10 +77,11 @@
     std::size_t m_page;
     std::size_t m_pages_returned = 0;
     store_mode m_mode = store_mode::up;
-    std::uint64_t m_revision = 10;
+    source::store_revision m_revision{.m_epoch = 1, .m_number = 10};
     std::uint64_t m_compacted_revision = 0; ///< changes up to this revision are not known any more
     std::map<std::string, source::key_change> m_items;
     std::list<source::key_change> m_history;
+    copy m_copy;
     std::list<waiting> m_waiting;
     std::size_t m_calls = 0;
 };
