Store follower: a store that keeps refusing watches is listed with pauses

Cause: the list after a lost history was sent at once, however often the history had just been lost. Change: the first time at once, then after the batch delay. Also a test that pages from before and after a restore make no list; it passed before, as the watch after the list shows the restore. Evidence: a_store_that_loses_all_history_gets_calls_with_pauses ended with a stack overflow before (the stand-in answers at once); passes now.

--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -162,7 +162,7 @@
     if (changes.m_status == store_status::history_lost) {
         on_success(changes);
         m_hooks.m_on_history_lost(changes);
-        list_changed();
+        schedule_list(std::exchange(m_history_lost, true) ? m_options.m_batch_delay : duration{});
         return;
     }
     if (changes.m_status != store_status::ok) {
@@ -177,6 +177,7 @@
         return;
     }
     on_success(changes);
+    m_history_lost = false;
     // A relay has listed the restored store itself, so its changes say what is different now.
     if (!changes.m_relayed &&
         compare_histories(m_status.m_revision, changes.m_revision) == history_relation::restored) {
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -137,6 +137,7 @@
     std::size_t m_list_ignored = 0;
     bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
+    bool m_history_lost = false;     // the latest watch was refused for its revision
     bool m_failure_reported = false; // m_on_contact_lost has been called since the start
     bool m_had_contact = false;      // a call has succeeded since the start
     std::optional<time_point> m_contact_regained_at;
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -299,6 +299,43 @@
     BOOST_TEST(fixture.m_store.calls() - before <= 3U);
 }
 
+// Whatever makes a store refuse each watch, listing it again at once would load it without end.
+BOOST_AUTO_TEST_CASE(a_store_that_loses_all_history_gets_calls_with_pauses)
+{
+    follower_fixture fixture;
+    fixture.m_store.put("a", "1");
+    fixture.m_store.set_mode(store_mode::without_history);
+    fixture.m_follower->start();
+    fixture.m_timers.advance(10s);
+    // A list and a watch at the start, once more at once, and then for each batch delay.
+    BOOST_TEST(fixture.m_store.calls() <= 4U + 2U * 10'000U / 150U);
+    fixture.m_store.put("a", "2");
+    fixture.m_timers.advance(1s);
+    BOOST_TEST(fixture.m_values.at("a") == "2");
+}
+
+// What the first pages named may be missing in the copy, and what comes on later pages may be
+// older than what the first page's revision promises.
+BOOST_AUTO_TEST_CASE(pages_from_before_and_after_a_restore_make_no_list)
+{
+    follower_fixture fixture(2);
+    for (const char* key : {"a", "b", "c"}) {
+        fixture.m_store.put(key, "1");
+    }
+    fixture.m_store.take_copy();
+    fixture.m_store.put("aa", "lost");
+    fixture.m_store.put("c", "lost");
+    bool is_restored = false;
+    fixture.m_store.m_between_pages = [&](std::size_t) {
+        if (!std::exchange(is_restored, true)) {
+            fixture.m_store.restore();
+        }
+    };
+    fixture.m_follower->start();
+    fixture.m_timers.advance(5s);
+    BOOST_TEST((fixture.m_values == key_values{{"a", "1"}, {"b", "1"}, {"c", "1"}}));
+}
+
 } // namespace
 // A list from another relay names unchanged keys without their values. What it does not name is
 // gone, and a revision that differs from the known one shows that the values are needed after all.
--- a/testing/fake_store.cc
+++ b/testing/fake_store.cc
@@ -87,7 +87,7 @@
 void fake_store::list(const source::list_request& request, const done_fn& done)
 {
     ++m_calls;
-    if (m_mode != store_mode::up) {
+    if (m_mode != store_mode::up && m_mode != store_mode::without_history) {
         fail(done);
         return;
     }
@@ -128,6 +128,12 @@
 void fake_store::watch(const source::watch_request& request, done_fn done)
 {
     ++m_calls;
+    if (m_mode == store_mode::without_history) {
+        store_answer lost;
+        lost.m_status = store_status::history_lost;
+        done(lost);
+        return;
+    }
     if (m_mode != store_mode::up) {
         fail(done);
         return;
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -14,7 +14,12 @@
 namespace pomelohead::testing {
 
 /// What the store does with calls.
-enum class store_mode { up, down, hanging };
+enum class store_mode {
+    up,
+    down,
+    hanging,
+    without_history, ///< answers each watch that its changes are not known any more
+};
 
 /// Holds keys and answers lists and watches as a published store does: pages are not a
 /// snapshot, a watch answers with the first change, and history may be forgotten.
