Store follower: a restore starts the grace for missing keys

Callers would get 503, or a fuller target, because targets that had registered just before a restore were dropped until they wrote again. Cause: the grace for keys that disappear was tied to the loss of contact; a restore that no call of this node ran into (a short one, or one seen through another connection) lost no contact. Change: the first answer of a later epoch starts the grace too, and leaves the line store_restored. Evidence: keys_lost_by_a_restore_are_removed_after_the_grace failed before (watch kept: 'back' and 'gone' missing, the revision called complete); passes now.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -109,6 +109,15 @@
                    {"after_epoch", part.m_follower->status().m_revision.m_epoch},
                    {"after", part.m_follower->status().m_revision.m_number}});
     };
+    hooks.m_on_restored = [&part](const source::store_revision& known,
+                                  const source::store_revision& answered) {
+        log_event(log_level::warning, "store_restored",
+                  {{"part", part.m_name},
+                   {"epoch", answered.m_epoch},
+                   {"revision", answered.m_number},
+                   {"known_epoch", known.m_epoch},
+                   {"known_revision", known.m_number}});
+    };
     hooks.m_on_listed = [&part](const source::list_summary& list) {
         log_event(log_level::info, "store_listed",
                   {{"part", part.m_name},
--- a/pomelohead/source/revision.h
+++ b/pomelohead/source/revision.h
@@ -35,7 +35,7 @@
 [[nodiscard]] constexpr history_relation compare_histories(const store_revision& known,
                                                            const store_revision& answered)
 {
-    if (known.is_none() || known.m_epoch == answered.m_epoch) {
+    if (known.is_none() || answered.is_none() || known.m_epoch == answered.m_epoch) {
         return history_relation::same;
     }
     return known.m_epoch < answered.m_epoch ? history_relation::restored
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -81,7 +81,7 @@
 // Fails the call if its answer is from before a restore that this follower has seen.
 bool store_follower::is_outdated(const store_answer& answer)
 {
-    if (compare_histories(m_status.m_revision, answer.m_revision) != history_relation::outdated) {
+    if (compare_histories(m_seen_revision, answer.m_revision) != history_relation::outdated) {
         return false;
     }
     on_failure({reason_code::stale, "the answer is from before the latest restore of the store"});
@@ -98,6 +98,7 @@
         return;
     }
     on_success(page);
+    detect_restore(page);
     if (after.empty()) {
         mark_all_unlisted();
         m_list_revision = page.m_revision;
@@ -177,6 +178,7 @@
         return;
     }
     on_success(changes);
+    detect_restore(changes);
     m_history_lost = false;
     // A relay has listed the restored store itself, so its changes say what is different now.
     if (!changes.m_relayed &&
@@ -261,8 +263,24 @@
 
 bool store_follower::is_in_removal_grace() const
 {
-    return m_contact_regained_at &&
-           m_timers.now() - *m_contact_regained_at < m_options.m_removal_grace;
+    return m_grace_started_at && m_timers.now() - *m_grace_started_at < m_options.m_removal_grace;
+}
+
+void store_follower::start_removal_grace()
+{
+    m_grace_started_at = m_timers.now();
+    m_removal_grace_timer =
+        m_timers.after(m_options.m_removal_grace, [this] { apply_pending_removals(); });
+}
+
+// Restores need not interrupt a call, so that contact with the store may not have been lost.
+void store_follower::detect_restore(const store_answer& answer)
+{
+    const store_revision known = std::exchange(m_seen_revision, answer.m_revision);
+    if (compare_histories(known, answer.m_revision) == history_relation::restored) {
+        start_removal_grace();
+        m_hooks.m_on_restored(known, answer.m_revision);
+    }
 }
 
 void store_follower::on_failure(const reason& why)
@@ -288,9 +306,7 @@
     }
     m_status.m_up = true;
     if (m_had_contact) {
-        m_contact_regained_at = now;
-        m_removal_grace_timer =
-            m_timers.after(m_options.m_removal_grace, [this] { apply_pending_removals(); });
+        start_removal_grace();
     }
     m_had_contact = true;
     m_hooks.m_on_contact_regained();
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -5,9 +5,9 @@
 // missing have been removed in the meantime.
 //
 // During an outage of the store the leases of live writers may expire; they write their
-// entries again soon after the store has recovered. Therefore a key that disappears during
-// an outage, or within the removal grace after it, is reported as removed only if it is
-// still missing at the end of the grace.
+// entries again soon after the store has recovered. They also write again what a restore has
+// lost. Therefore a key that disappears during an outage or in a restore, or within the removal
+// grace after it, is reported as removed only if it is still missing at the end of the grace.
 //
 // The follower does no I/O: it sends calls through hooks and passes a callback for the
 // answer. It never reports an older revision of a key after a newer one. A store that was
@@ -37,8 +37,8 @@
     bool m_list_after_changes = false;
     /// Replaces m_batch_delay after a relay's answer: relays batch changes themselves.
     milliseconds m_relay_watch_delay{20};
-    /// How long after an outage a missing key is kept. Writers write their entries again
-    /// about two seconds after the store has recovered.
+    /// How long after an outage or a restore a missing key is kept. Writers write their entries
+    /// again about two seconds after the store has recovered.
     milliseconds m_removal_grace{2'300};
     backoff_options m_backoff{.m_initial_bound = milliseconds(200),
                               .m_max_bound = milliseconds(1'000)};
@@ -64,6 +64,9 @@
     std::function<void()> m_on_contact_regained; ///< the first successful call after failed ones
     /// The store does not have the changes after the watched revision.
     std::function<void(const store_answer&)> m_on_history_lost = [](const store_answer&) {};
+    /// The store has been restored from a copy since its latest answer.
+    std::function<void(const store_revision& known, const store_revision& answered)> m_on_restored =
+        [](const store_revision&, const store_revision&) {};
     std::function<void(const list_summary&)> m_on_listed = [](const list_summary&) {};
 };
 
@@ -106,6 +109,8 @@
     void list_from(const std::string& after, const store_revision& known_revision = {});
     void list_changed() { list_from({}, complete_revision()); }
     void schedule_list(duration delay);
+    void detect_restore(const store_answer& answer);
+    void start_removal_grace();
     [[nodiscard]] bool is_outdated(const store_answer& answer);
     void on_list_page(const std::string& after, const store_answer& page);
     void finish_list();
@@ -137,10 +142,11 @@
     std::size_t m_list_ignored = 0;
     bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
+    store_revision m_seen_revision;  // of the latest answer; tells a restore
     bool m_history_lost = false;     // the latest watch was refused for its revision
     bool m_failure_reported = false; // m_on_contact_lost has been called since the start
     bool m_had_contact = false;      // a call has succeeded since the start
-    std::optional<time_point> m_contact_regained_at;
+    std::optional<time_point> m_grace_started_at;
     std::map<std::string, known_key> m_keys;
     timer_subscription m_next_call_timer;
     timer_subscription m_removal_grace_timer;
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -57,6 +57,29 @@
     std::optional<store_follower> m_follower;
 };
 
+BOOST_AUTO_TEST_CASE(histories_compare_by_epoch)
+{
+    struct history_case {
+        store_revision m_known;
+        store_revision m_answered;
+        history_relation m_relation;
+    };
+    const history_case cases[] = {
+        {{}, {3, 10}, history_relation::same},
+        {{3, 10}, {}, history_relation::same},
+        {{3, 10}, {3, 9}, history_relation::same},
+        {{0, 10}, {0, 12}, history_relation::same}, // a store that states no epoch
+        {{3, 10}, {4, 9}, history_relation::restored},
+        {{3, 10}, {6, 100}, history_relation::restored},
+        {{4, 9}, {3, 100}, history_relation::outdated},
+    };
+    for (const history_case& c : cases) {
+        BOOST_TEST((compare_histories(c.m_known, c.m_answered) == c.m_relation));
+    }
+    BOOST_TEST((store_revision{4, 9} > store_revision{3, 100}));
+    BOOST_TEST((store_revision{4, 9} < store_revision{4, 10}));
+}
+
 BOOST_AUTO_TEST_CASE(changes_between_pages_of_a_list_are_applied)
 {
     follower_fixture fixture(2);
@@ -314,6 +337,36 @@
     BOOST_TEST(fixture.m_values.at("a") == "2");
 }
 
+// A restore need not interrupt a call. The writers of the keys that it has lost write them again,
+// as after an outage.
+BOOST_AUTO_TEST_CASE(keys_lost_by_a_restore_are_removed_after_the_grace)
+{
+    for (const bool keeps_watches : {false, true}) {
+        BOOST_TEST_CONTEXT("watch " << (keeps_watches ? "kept" : "cut"))
+        {
+            follower_fixture fixture;
+            fixture.m_store.put("old", "1");
+            fixture.m_follower->start();
+            fixture.m_timers.advance(1s);
+            fixture.m_store.take_copy();
+            fixture.m_store.put("back", "1");
+            fixture.m_store.put("gone", "1");
+            fixture.m_timers.advance(1s);
+            fixture.m_store.restore(keeps_watches);
+            fixture.m_store.put("old", "2");
+            fixture.m_store.put("old", "3");
+            fixture.m_store.put("old", "4");
+            fixture.m_timers.advance(2s);
+            BOOST_TEST(
+                (fixture.m_values == key_values{{"back", "1"}, {"gone", "1"}, {"old", "4"}}));
+            BOOST_TEST(fixture.m_follower->complete_revision().is_none());
+            fixture.m_store.put("back", "2");
+            fixture.m_timers.advance(2s);
+            BOOST_TEST((fixture.m_values == key_values{{"back", "2"}, {"old", "4"}}));
+        }
+    }
+}
+
 // What the first pages named may be missing in the copy, and what comes on later pages may be
 // older than what the first page's revision promises.
 BOOST_AUTO_TEST_CASE(pages_from_before_and_after_a_restore_make_no_list)
