Discovery: targets that left before a restore of the store are not used again

Callers' requests would be sent to targets that had left: a restored store names them again, and a target that leaves without saying so serves on for seconds (DRAIN), or its address is another's. Cause: the builder forgets a removed registration, and the copy's is taken for a new one. Evidence: target_that_has_left_is_not_used_when_a_restored_store_names_it_again failed for four of its seven cases before, passes now.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -93,9 +93,10 @@
         m_snapshot_builder.put(change);
         part.m_relay.put(change);
     };
-    hooks.m_on_removed = [this, &part](const std::string& key) {
-        m_snapshot_builder.remove(key);
-        part.m_relay.remove(key, part.m_follower->status().m_revision);
+    hooks.m_on_removed = [this, &part](const std::string& key,
+                                       const source::store_revision& revision) {
+        m_snapshot_builder.remove(key, revision);
+        part.m_relay.remove(key, revision);
     };
     hooks.m_on_answer_applied = [this] { on_changes_applied(); };
     hooks.m_on_contact_lost = [&part](const reason& why) {
--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -27,7 +27,7 @@
         apply_configuration(std::move(*received), change.m_revision);
     }
     else if (auto* item = std::get_if<instance>(&*value)) {
-        apply_instance(change.m_key, std::move(*item));
+        apply_instance(change, std::move(*item));
     }
 }
 
@@ -63,8 +63,14 @@
     m_changed = true;
 }
 
-void snapshot_builder::apply_instance(const std::string& key, instance received)
+void snapshot_builder::apply_instance(const source::key_change& change, instance received)
 {
+    const std::string& key = change.m_key;
+    if (m_removed.contains(key, received, change.m_revision.m_epoch)) {
+        reject(key, {reason_code::stale, "the target has left since this registration"});
+        return;
+    }
+    m_removed.erase(key);
     const auto it = m_instances.find(key);
     if (it != m_instances.end()) {
         const instance& current_instance = it->second;
@@ -90,7 +96,7 @@
     m_changed = true;
 }
 
-void snapshot_builder::remove(const std::string& key)
+void snapshot_builder::remove(const std::string& key, const source::store_revision& revision)
 {
     const auto it = m_instances.find(key);
     if (it == m_instances.end()) {
@@ -98,6 +104,7 @@
     }
     log_event(log_level::info, "target_gone",
               {{"target", it->second.m_id}, {"service", it->second.m_service}});
+    m_removed.add(key, it->second, revision.m_epoch);
     m_instances.erase(it);
     m_changed = true;
 }
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -9,7 +9,7 @@
 //   - The configuration's version never decreases. Different content under the version in force
 //     is rejected, and an invalid configuration is rejected completely.
 //   - Of two registrations under one key, that of the earlier start never replaces that of the
-//     later one.
+//     later one. That of a target that has left is not used again when a restored store names it.
 //   - Of two registrations at one address, only that of the later start is in the snapshot.
 //
 //     snapshot_builder builder(decode, on_snapshot);
@@ -19,6 +19,7 @@
 
 #include "pomelohead/config/snapshot.h"
 #include "pomelohead/discovery/instance.h"
+#include "pomelohead/discovery/removed_instances.h"
 #include "pomelohead/runtime/reason.h"
 #include "pomelohead/source/key_value.h"
 
@@ -49,8 +50,8 @@
     /// Applies a new or changed value.
     void put(const source::key_change& change);
 
-    /// Applies the removal of a key. A configuration in force stays in force.
-    void remove(const std::string& key);
+    /// Applies the removal of a key, seen at `revision`. A configuration in force stays in force.
+    void remove(const std::string& key, const source::store_revision& revision);
 
     /// Builds and publishes a snapshot if values have changed since the last one and there is a
     /// configuration.
@@ -68,7 +69,7 @@
 
 private:
     void apply_configuration(config::snapshot received, const source::store_revision& revision);
-    void apply_instance(const std::string& key, instance received);
+    void apply_instance(const source::key_change& change, instance received);
     void reject(const std::string& key, reason why);
     /// The registrations but for those of ended targets whose address another one has taken over.
     [[nodiscard]] std::vector<const instance*> current_instances() const;
@@ -78,6 +79,7 @@
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
     std::optional<config::snapshot> m_configuration; // without targets
     std::map<std::string, instance> m_instances;     // by key
+    removed_instances m_removed;
     config::snapshot_ptr m_current;
     reason m_last_refusal;
     bool m_changed = false;
--- a/pomelohead/discovery/snapshot_builder_test.cc
+++ b/pomelohead/discovery/snapshot_builder_test.cc
@@ -70,6 +70,15 @@
         m_snapshot_builder.publish();
     }
 
+    void remove(const std::string& key)
+    {
+        m_snapshot_builder.remove(key, {m_epoch, ++m_revision});
+        m_snapshot_builder.publish();
+    }
+
+    // The store goes back to a copy that has all that was put until now.
+    void restore() { ++m_epoch; }
+
     [[nodiscard]] std::vector<std::string> targets() const
     {
         std::vector<std::string> names;
@@ -129,8 +138,7 @@
 {
     builder_fixture d;
     d.put("configuration", make_configuration(4));
-    d.m_snapshot_builder.remove("configuration");
-    d.m_snapshot_builder.publish();
+    d.remove("configuration");
     BOOST_TEST(d.m_snapshot_builder.current()->m_version == 4U);
 }
 
@@ -145,8 +153,7 @@
     d.put("targets/i-1", draining);
     BOOST_TEST((d.targets() == names{"i-1"}));
     BOOST_TEST(d.m_snapshot_builder.current()->is_draining("i-1"));
-    d.m_snapshot_builder.remove("targets/i-1");
-    d.m_snapshot_builder.publish();
+    d.remove("targets/i-1");
     BOOST_TEST(d.targets().empty());
 }
 
@@ -178,8 +185,7 @@
     BOOST_TEST((d.targets() == names{"new"}));
     d.put("targets/elsewhere", make_instance("elsewhere", 300, "10.0.0.2"));
     BOOST_TEST((d.targets() == names{"elsewhere", "new"}));
-    d.m_snapshot_builder.remove("targets/new");
-    d.m_snapshot_builder.publish();
+    d.remove("targets/new");
     BOOST_TEST((d.targets() == names{"elsewhere", "old"}));
 }
 
@@ -195,6 +201,48 @@
     BOOST_TEST((d.targets() == names{"i-1"}));
 }
 
+// The copy that a store is restored from may hold targets that have left since, and that end a
+// while after they have left.
+BOOST_AUTO_TEST_CASE(target_that_has_left_is_not_used_when_a_restored_store_names_it_again)
+{
+    struct return_case {
+        const char* m_name;
+        int m_restores;
+        std::int64_t m_started;
+        std::uint64_t m_sequence;
+        bool m_is_used;
+    };
+    // The target has left with start 100 and sequence 5.
+    const return_case cases[] = {
+        {"the registration that it left with", 1, 100, 5, false},
+        {"an earlier one", 1, 100, 3, false},
+        {"of an earlier start", 1, 90, 50, false},
+        {"after two restores", 2, 100, 5, false},
+        {"registered again after the restore", 1, 100, 6, true},
+        {"started again", 1, 110, 1, true},
+        {"registered again without a restore", 0, 100, 5, true},
+    };
+    for (const return_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            builder_fixture d;
+            d.put("configuration", make_configuration(4));
+            d.put("targets/i-1", make_instance("i-1"));
+            d.remove("targets/i-1");
+            for (int i = 0; i < c.m_restores; ++i) {
+                d.restore();
+            }
+            instance back = make_instance("i-1", c.m_started);
+            back.m_sequence = c.m_sequence;
+            d.put("targets/i-1", back);
+            BOOST_TEST((d.targets() == (c.m_is_used ? names{"i-1"} : names{})));
+            back.m_sequence += 10;
+            d.put("targets/i-1", back);
+            BOOST_TEST((d.targets() == (c.m_started < 100 ? names{} : names{"i-1"})));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(target_of_unknown_service_is_not_used)
 {
     builder_fixture d;
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -241,7 +241,7 @@
         return;
     }
     m_keys.erase(it);
-    m_hooks.m_on_removed(key);
+    m_hooks.m_on_removed(key, revision);
 }
 
 void store_follower::apply_pending_removals()
@@ -254,7 +254,7 @@
     }
     for (const std::string& key : expired) {
         m_keys.erase(key);
-        m_hooks.m_on_removed(key);
+        m_hooks.m_on_removed(key, m_status.m_revision);
     }
     if (!expired.empty()) {
         m_hooks.m_on_answer_applied();
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -57,7 +57,8 @@
     std::function<void(const list_request&, std::function<void(store_answer)>)> m_list;
     std::function<void(const watch_request&, std::function<void(store_answer)>)> m_watch;
     std::function<void(const key_change&)> m_on_put; ///< a new or changed value
-    std::function<void(const std::string& key)> m_on_removed;
+    /// `revision`: of the answer that lacks the key.
+    std::function<void(const std::string& key, const store_revision& revision)> m_on_removed;
     std::function<void()> m_on_answer_applied; ///< after all puts and removals of one answer
     std::function<void(const reason&)>
         m_on_contact_lost;                       ///< the first failed call after successful ones
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -30,7 +30,9 @@
             m_values[c.m_key] = *c.m_value;
             ++m_put_count;
         };
-        hooks.m_on_removed = [this](const std::string& key) { m_values.erase(key); };
+        hooks.m_on_removed = [this](const std::string& key, const store_revision&) {
+            m_values.erase(key);
+        };
         hooks.m_on_answer_applied = [this] { ++m_settled_count; };
         hooks.m_on_contact_lost = [this](const reason&) { ++m_lost_count; };
         hooks.m_on_contact_regained = [this] { ++m_regained_count; };
@@ -414,7 +416,7 @@
         }
     };
     hooks.m_on_put = [&](const key_change& c) { values[c.m_key] = *c.m_value; };
-    hooks.m_on_removed = [&](const std::string& key) { values.erase(key); };
+    hooks.m_on_removed = [&](const std::string& key, const store_revision&) { values.erase(key); };
     hooks.m_on_answer_applied = [] {};
     hooks.m_on_contact_lost = [](const reason&) {};
     hooks.m_on_contact_regained = [] {};
