Discovery: a version given out again by a restored store replaces the lost one

Nodes that held a lost version would differ for good from nodes that start later, if its number is given to another content after a restore (requests handled as an older version says, CONFIG). Cause: other content under the version in force is a conflict, whichever history it is from. Change: of equal versions that of the later epoch supersedes; an older version never does, as the copy's stands there until the lost one is written again. Within an epoch it stays a conflict. Evidence: version_given_out_again_by_a_restored_store_replaces_the_lost_one failed before (4 checks), passes now.

--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -4,6 +4,7 @@
 #include "pomelohead/telemetry/log.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pomelohead::discovery {
 
@@ -35,13 +36,14 @@
                                            const source::store_revision& revision)
 {
     const std::string subject = "configuration " + std::to_string(received.m_version);
-    if (m_configuration && received.m_version <= m_configuration->m_version) {
-        if (received != *m_configuration) {
-            const bool older = received.m_version < m_configuration->m_version;
-            reject(subject,
-                   {older ? reason_code::stale : reason_code::conflict,
-                    "version " + std::to_string(m_configuration->m_version) + " is in force"});
-        }
+    if (m_configuration && received == *m_configuration) {
+        m_configuration_epoch = std::max(m_configuration_epoch, revision.m_epoch);
+        return;
+    }
+    if (m_configuration && !supersedes(received.m_version, revision.m_epoch)) {
+        const bool older = received.m_version < m_configuration->m_version;
+        reject(subject, {older ? reason_code::stale : reason_code::conflict,
+                         "version " + std::to_string(m_configuration->m_version) + " is in force"});
         return;
     }
     const std::vector<config::fault> faults =
@@ -60,9 +62,18 @@
                {"revision", revision.m_number},
                {"routes", received.m_routes.size()}});
     m_configuration = std::move(received);
+    m_configuration_epoch = revision.m_epoch;
     m_changed = true;
 }
 
+// Whether another configuration takes the place of the one in force. A restored store may hold an
+// older version until the lost one is written again, so only its version decides, and for equal
+// versions the epoch.
+bool snapshot_builder::supersedes(config::version_number version, std::uint64_t epoch) const
+{
+    return std::tie(version, epoch) > std::tie(m_configuration->m_version, m_configuration_epoch);
+}
+
 void snapshot_builder::apply_instance(const source::key_change& change, instance received)
 {
     const std::string& key = change.m_key;
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -7,7 +7,8 @@
 //
 // Invariants:
 //   - The configuration's version never decreases. Different content under the version in force
-//     is rejected, and an invalid configuration is rejected completely.
+//     is rejected, unless a restored store has it, and an invalid configuration is rejected
+//     completely.
 //   - Of two registrations under one key, that of the earlier start never replaces that of the
 //     later one. That of a target that has left is not used again when a restored store names it.
 //   - Of two registrations at one address, only that of the later start is in the snapshot.
@@ -69,6 +70,7 @@
 
 private:
     void apply_configuration(config::snapshot received, const source::store_revision& revision);
+    [[nodiscard]] bool supersedes(config::version_number version, std::uint64_t epoch) const;
     void apply_instance(const source::key_change& change, instance received);
     void reject(const std::string& key, reason why);
     /// The registrations but for those of ended targets whose address another one has taken over.
@@ -78,6 +80,7 @@
     decode_fn m_decode;
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
     std::optional<config::snapshot> m_configuration; // without targets
+    std::uint64_t m_configuration_epoch = 0;         // the latest in which it was read
     std::map<std::string, instance> m_instances;     // by key
     removed_instances m_removed;
     config::snapshot_ptr m_current;
--- a/pomelohead/discovery/snapshot_builder_test.cc
+++ b/pomelohead/discovery/snapshot_builder_test.cc
@@ -125,6 +125,29 @@
     BOOST_TEST(d.m_snapshot_builder.current()->m_version == 9U);
 }
 
+// Operators whose latest version a restore has lost may give its number to another content. What
+// the store has now must win on all nodes, or they would differ for good.
+BOOST_AUTO_TEST_CASE(version_given_out_again_by_a_restored_store_replaces_the_lost_one)
+{
+    builder_fixture d;
+    d.put("configuration", make_configuration(4));
+    d.restore();
+    d.put("configuration", make_configuration(3)); // the copy's, until version 4 is written again
+    BOOST_TEST(d.m_snapshot_builder.current()->m_version == 4U);
+    config::snapshot other = make_configuration(4);
+    other.m_routes[0].m_path_prefix = "/b/";
+    d.put("configuration", other);
+    BOOST_TEST(d.m_snapshot_builder.current()->m_routes[0].m_path_prefix == "/b/");
+    other.m_routes[0].m_path_prefix = "/c/";
+    d.put("configuration", other);
+    BOOST_TEST(d.m_snapshot_builder.current()->m_routes[0].m_path_prefix == "/b/");
+    BOOST_TEST((d.m_snapshot_builder.last_refusal().m_code == reason_code::conflict));
+    d.restore();
+    d.put("configuration", make_configuration(4, "unknown"));
+    BOOST_TEST(d.m_snapshot_builder.current()->m_routes[0].m_path_prefix == "/b/");
+    BOOST_TEST((d.m_snapshot_builder.last_refusal().m_code == reason_code::invalid));
+}
+
 BOOST_AUTO_TEST_CASE(invalid_configuration_is_rejected_completely)
 {
     builder_fixture d;
