Relays: what a restore of the store has lost stays known

A node that started after a restore served by the older configuration of the copy, though its relay knew the newer one that had been acknowledged (CONFIG: an older version came back). Cause: relays passed on the store's value whether or not it replaced what they knew themselves. Change: the builder says whether a value replaces what is known; if not, the relay keeps its own and only notes the revision, so that it does not count as behind. Evidence: relays_keep_what_a_restored_store_has_lost failed before (version 1 instead of 2), passes now.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -90,8 +90,13 @@
         });
     };
     hooks.m_on_put = [this, &part](const source::key_change& change) {
-        m_snapshot_builder.put(change);
-        part.m_relay.put(change);
+        // Of a restored store, what is known here may be newer.
+        if (m_snapshot_builder.put(change)) {
+            part.m_relay.put(change);
+        }
+        else {
+            part.m_relay.keep(change.m_revision);
+        }
     };
     hooks.m_on_removed = [this, &part](const std::string& key,
                                        const source::store_revision& revision) {
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -107,30 +107,15 @@
     explicit failure_domain_fixture(boost::asio::io_context& io,
                                     std::optional<int> capable_node = std::nullopt,
                                     std::optional<int> seed = std::nullopt)
-        : m_timers(io), m_store(m_timers)
+        : m_io(io), m_capable_node(capable_node), m_seed(seed), m_timers(io), m_store(m_timers),
+          m_nodes(node_count)
     {
         m_store.put("configuration", "1");
         for (int node = 0; node < node_count; ++node) {
             m_store.put("target-" + std::to_string(node), address_of(node));
         }
         for (int node = 0; node < node_count; ++node) {
-            catalog_options options;
-            options.m_address = address_of(node);
-            options.m_relay_port = relay_port;
-            options.m_failure_domain = "bala";
-            options.m_is_preferred_relay = !capable_node || *capable_node == node;
-            options.m_incarnation = 1'000U + static_cast<unsigned>(node);
-            options.m_timing = make_relay_timing(bound);
-            if (seed) {
-                options.m_seeds = {"127.95.0.200", address_of(*seed)}; // the first one is down
-            }
-            const auto open = [this, node](source::store_part) {
-                return std::make_unique<store_connection>(m_store, m_is_disconnected.at(node),
-                                                          m_lists.at(node), m_longest_call);
-            };
-            m_nodes.push_back(std::make_unique<catalog>(io, options, m_timers, open, decode));
-            reason why;
-            BOOST_REQUIRE_MESSAGE(m_nodes.back()->start(why), why.m_text);
+            start_node(node);
         }
         std::vector<std::string> members;
         members.reserve(node_count);
@@ -151,6 +136,35 @@
         }
     }
 
+    void start_node(int node)
+    {
+        catalog_options options;
+        options.m_address = address_of(node);
+        options.m_relay_port = relay_port;
+        options.m_failure_domain = "bala";
+        options.m_is_preferred_relay = !m_capable_node || *m_capable_node == node;
+        options.m_incarnation = 1'000U + static_cast<unsigned>(node);
+        options.m_timing = make_relay_timing(bound);
+        if (m_seed) {
+            options.m_seeds = {"127.95.0.200", address_of(*m_seed)}; // the first one is down
+        }
+        const auto open = [this, node](source::store_part) {
+            return std::make_unique<store_connection>(m_store, m_is_disconnected.at(node),
+                                                      m_lists.at(node), m_longest_call);
+        };
+        m_nodes.at(node) = std::make_unique<catalog>(m_io, options, m_timers, open, decode);
+        reason why;
+        BOOST_REQUIRE_MESSAGE(m_nodes.at(node)->start(why), why.m_text);
+    }
+
+    // Stops a node and starts it again without what it knew.
+    void replace_node(int node)
+    {
+        m_nodes.at(node)->stop();
+        m_nodes.at(node).reset();
+        start_node(node);
+    }
+
     [[nodiscard]] bool has_target(int node, const std::string& name) const
     {
         const auto config = m_nodes.at(node)->current();
@@ -173,6 +187,9 @@
         return false;
     }
 
+    boost::asio::io_context& m_io;
+    std::optional<int> m_capable_node;
+    std::optional<int> m_seed;
     asio_timer_service m_timers;
     testing::fake_store m_store;
     std::array<bool, node_count> m_is_disconnected{};
@@ -269,6 +286,28 @@
     }
 }
 
+// Until what a restore has lost is written again, relays know more than the store. A node that
+// starts then must not serve by the older configuration that the store has.
+BOOST_AUTO_TEST_CASE(relays_keep_what_a_restored_store_has_lost)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        failure_domain_fixture d(io, std::nullopt, 0);
+        BOOST_TEST(d.all_nodes_have("target-0"));
+        sleep_for(300ms);
+        d.m_store.take_copy();
+        d.m_store.put("configuration", "2");
+        d.m_store.put("new", "10.9.0.1");
+        BOOST_TEST(d.all_nodes_have("new"));
+        d.m_store.restore();
+        d.m_store.put("last", "10.9.0.2");
+        BOOST_TEST(d.all_nodes_have("last"));
+        const int node = (d.m_relay + 1) % node_count;
+        d.replace_node(node);
+        BOOST_TEST(d.all_nodes_have("last"));
+        BOOST_TEST(d.m_nodes.at(node)->current()->m_version == 2U);
+    });
+}
+
 // A node without access to the store receives changes through its failure domain's relay.
 BOOST_AUTO_TEST_CASE(node_without_store_access_follows_the_relay)
 {
--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -14,7 +14,7 @@
 {
 }
 
-void snapshot_builder::put(const source::key_change& change)
+bool snapshot_builder::put(const source::key_change& change)
 {
     reason why;
     std::optional<decoded_value> value = m_decode(change, why);
@@ -22,29 +22,30 @@
         // Whatever wrote the value, the key no longer holds a usable target.
         m_changed = m_instances.erase(change.m_key) > 0 || m_changed;
         reject(change.m_key, std::move(why));
-        return;
+        return true;
     }
     if (auto* received = std::get_if<config::snapshot>(&*value)) {
-        apply_configuration(std::move(*received), change.m_revision);
+        return apply_configuration(std::move(*received), change.m_revision);
     }
-    else if (auto* item = std::get_if<instance>(&*value)) {
-        apply_instance(change, std::move(*item));
+    if (auto* item = std::get_if<instance>(&*value)) {
+        return apply_instance(change, std::move(*item));
     }
+    return true;
 }
 
-void snapshot_builder::apply_configuration(config::snapshot received,
+bool snapshot_builder::apply_configuration(config::snapshot received,
                                            const source::store_revision& revision)
 {
     const std::string subject = "configuration " + std::to_string(received.m_version);
     if (m_configuration && received == *m_configuration) {
         m_configuration_epoch = std::max(m_configuration_epoch, revision.m_epoch);
-        return;
+        return true;
     }
     if (m_configuration && !supersedes(received.m_version, revision.m_epoch)) {
         const bool older = received.m_version < m_configuration->m_version;
         reject(subject, {older ? reason_code::stale : reason_code::conflict,
                          "version " + std::to_string(m_configuration->m_version) + " is in force"});
-        return;
+        return false;
     }
     const std::vector<config::fault> faults =
         config::validate(received, config::target_source::discovery);
@@ -53,7 +54,7 @@
         reject(subject,
                {reason_code::invalid, first.m_subject + ", " + first.m_field + ": " + first.m_text +
                                           " (" + std::to_string(faults.size()) + " faults)"});
-        return;
+        return false;
     }
     log_event(log_level::info, "configuration_accepted",
               {{"version", received.m_version},
@@ -64,6 +65,7 @@
     m_configuration = std::move(received);
     m_configuration_epoch = revision.m_epoch;
     m_changed = true;
+    return true;
 }
 
 // Whether another configuration takes the place of the one in force. A restored store may hold an
@@ -74,12 +76,12 @@
     return std::tie(version, epoch) > std::tie(m_configuration->m_version, m_configuration_epoch);
 }
 
-void snapshot_builder::apply_instance(const source::key_change& change, instance received)
+bool snapshot_builder::apply_instance(const source::key_change& change, instance received)
 {
     const std::string& key = change.m_key;
     if (m_removed.contains(key, received, change.m_revision.m_epoch)) {
         reject(key, {reason_code::stale, "the target has left since this registration"});
-        return;
+        return false;
     }
     m_removed.erase(key);
     const auto it = m_instances.find(key);
@@ -89,7 +91,7 @@
             (received.m_started_ms == current_instance.m_started_ms &&
              received.m_sequence < current_instance.m_sequence)) {
             reject(key, {reason_code::stale, "a later registration is in force"});
-            return;
+            return false;
         }
     }
     const bool is_new_start =
@@ -105,6 +107,7 @@
     }
     m_instances[key] = std::move(received);
     m_changed = true;
+    return true;
 }
 
 void snapshot_builder::remove(const std::string& key, const source::store_revision& revision)
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -48,8 +48,9 @@
     snapshot_builder(decode_fn decode,
                      std::function<void(const config::snapshot_ptr&)> on_snapshot);
 
-    /// Applies a new or changed value.
-    void put(const source::key_change& change);
+    /// Applies a new or changed value. Returns whether it replaces what is known under its key; if
+    /// not, what is known is newer or better.
+    bool put(const source::key_change& change);
 
     /// Applies the removal of a key, seen at `revision`. A configuration in force stays in force.
     void remove(const std::string& key, const source::store_revision& revision);
@@ -69,9 +70,9 @@
     [[nodiscard]] const reason& last_refusal() const { return m_last_refusal; }
 
 private:
-    void apply_configuration(config::snapshot received, const source::store_revision& revision);
+    bool apply_configuration(config::snapshot received, const source::store_revision& revision);
     [[nodiscard]] bool supersedes(config::version_number version, std::uint64_t epoch) const;
-    void apply_instance(const source::key_change& change, instance received);
+    bool apply_instance(const source::key_change& change, instance received);
     void reject(const std::string& key, reason why);
     /// The registrations but for those of ended targets whose address another one has taken over.
     [[nodiscard]] std::vector<const instance*> current_instances() const;
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -17,6 +17,7 @@
 #include "pomelohead/source/key_value.h"
 #include "pomelohead/source/packed_value.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -62,6 +63,10 @@
     }
 
     void put(const key_change& change);
+
+    /// Records that the store has a change that does not replace what this node has.
+    void keep(const store_revision& revision) { m_revision = std::max(m_revision, revision); }
+
     void remove(const std::string& key, const store_revision& revision);
 
     /// Sets from where this node has the changes at the moment.
