Crash marks: messages that nest deeply are rejected before they are decoded

The same cause as for the store's values, elsewhere: the CBOR reader calls itself for each level. A message of another node that is nested deeply ended the process or left it hanging. Change: the check of the depth that other messages have is made here, too. Evidence: the case 'nested deeply' of the test of bad messages did not end within 10 minutes before; passes now.

--- a/pomelohead/outcome/mark_codec.cc
+++ b/pomelohead/outcome/mark_codec.cc
@@ -1,5 +1,7 @@
 #include "pomelohead/outcome/mark_codec.h"
 
+#include "pomelohead/distribution/cbor_check.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pomelohead::outcome {
@@ -7,6 +9,7 @@
 
 using nlohmann::json;
 
+constexpr unsigned max_nesting_depth = 2; // a list of maps
 constexpr std::size_t max_text_bytes = 256;
 constexpr milliseconds max_left = std::chrono::hours(24);
 constexpr std::size_t fields_per_mark = 5;
@@ -62,7 +65,9 @@
 
 std::optional<std::vector<crash_mark>> decode_marks(std::string_view bytes, reason& why)
 {
-    const json list = json::from_cbor(bytes, true, false);
+    const json list = distribution::is_bounded_cbor(bytes, max_nesting_depth)
+                          ? json::from_cbor(bytes, true, false)
+                          : json(json::value_t::discarded);
     if (!list.is_array()) {
         why = {reason_code::malformed, "message is not a CBOR list of crash marks"};
         return std::nullopt;
--- a/pomelohead/outcome/mark_codec_test.cc
+++ b/pomelohead/outcome/mark_codec_test.cc
@@ -45,6 +45,7 @@
     };
     const bad_case cases[] = {
         {"empty", ""},
+        {"nested deeply", std::string(300'000, '\x81')},
         {"cut short", encode_marks({{"f", "c", true, false, milliseconds(5)}}).substr(0, 20)},
         {"a map", cbor(good_mark())},
         {"unknown field", with("extra", 1)},
