Owner: a refusal without an id is not taken for that of a later request

It could happen here in two ways: with targets that need not name the request (our own interface: 503 to a POST that had run), and with a 421 without an id, which counted on any connection. Cause: such a response was taken for the answer to whatever request was under way. Change: after a refusal that does not name its request the connection is closed, so that no copy of it can come on it; a 421 without an id counts on a new connection only, as behind one that has been in use is the process that answered on it before. Refusals with another id were passed over before, too.

--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -24,6 +24,9 @@
     boost::beast::flat_buffer m_buffer;
     time_point m_idle_since{};
     time_point m_usable_until = time_point::max(); ///< the peer closes it soon afterwards
+
+    /// Whether it has carried a complete exchange before.
+    [[nodiscard]] bool was_released() const { return m_idle_since != time_point{}; }
 };
 
 /// Whether the peer has closed the connection or sent unexpected bytes.
--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -33,6 +33,7 @@
     respond_to_other_request, // a response with another request's id
     omit_length,              // a response that is delimited by the end of the connection
     decline,                  // 503, not run
+    decline_once_more,        // declines, and writes that again before the connection's next answer
     never_respond,
     large_response,          // 1 MB
     truncate_large_response, // declares 1 MB, sends half, closes
@@ -90,6 +91,24 @@
             head.set(not_run_header, "true");
             e.respond(head, {}, limit, why);
             return;
+        case target_behavior::decline_once_more:
+            if (m_declined_port == 0) {
+                m_declined_port = e.stream().socket().remote_endpoint().port();
+                --m_runs;
+                head.result(503);
+                head.set(not_run_header, "true");
+                e.respond(head, {}, limit, why);
+                return;
+            }
+            if (m_declined_port == e.stream().socket().remote_endpoint().port()) {
+                http::header<false> again;
+                again.result(503);
+                again.set(not_run_header, "true");
+                again.set(http::field::content_length, "0");
+                message_writer(e.stream()).write_head(again, body_framing::none, {}, limit, why);
+            }
+            e.respond(head, std::to_string(total), limit, why);
+            return;
         case target_behavior::never_respond:
             m_connection_closed.reset();
             {
@@ -110,6 +129,7 @@
 
     target_behavior m_behavior = target_behavior::respond_with_size;
     int m_runs = 0;
+    unsigned short m_declined_port = 0; ///< the owner's, of the connection with the refusal
     fiber_event
         m_connection_closed; ///< the owner closed the connection of a request without a response
     http_server m_server;
@@ -353,6 +373,19 @@
     }
 }
 
+// Targets need not say which request a response is for. A refusal that is written again must not
+// tell the caller of a later request, which runs, that it has not.
+BOOST_AUTO_TEST_CASE(refusal_written_again_does_not_answer_a_later_request)
+{
+    run_with_mesh(1, [](mesh& m) {
+        m.at(1).m_target->m_behavior = target_behavior::decline_once_more;
+        BOOST_TEST(m.call(http::verb::post, "/post", 5).m_outcome == "not-run");
+        const caller_response later = m.call(http::verb::post, "/post", 5);
+        BOOST_TEST(later.m_status == 200U);
+        BOOST_TEST(m.total_runs() == 1);
+    });
+}
+
 // A slow host reads the request and the end of its connection at once.
 BOOST_AUTO_TEST_CASE(request_of_a_caller_that_has_left_is_not_sent_on)
 {
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -544,10 +544,13 @@
         const http::header<false>& head = m_reader->head();
         const auto echoed = head.find(target_dialect.m_request_id);
         const bool has_no_id = echoed == head.end();
-        const bool may_omit_id =
-            !target_dialect.m_requires_request_id_echo ||
-            target_dialect.m_classify_response(head) == target_response_kind::misdirected;
+        // Behind a connection that has been in use is the process that answered on it before.
+        const bool may_be_misdirected = !m_connection->was_released();
+        const bool may_omit_id = !target_dialect.m_requires_request_id_echo ||
+                                 (may_be_misdirected && target_dialect.m_classify_response(head) ==
+                                                            target_response_kind::misdirected);
         if (has_no_id ? may_omit_id : echoed->value() == m_request_id) {
+            m_response_has_id = !has_no_id;
             return true;
         }
         if (has_no_id || !target_dialect.m_requires_request_id_echo || !discard_response(why)) {
@@ -602,7 +605,8 @@
         if (verdict == target_response_kind::misdirected) {
             m_target->mark_displaced();
         }
-        return_connection();
+        // A copy of a refusal without an id would pass for the refusal of a later request.
+        return_connection(m_response_has_id);
         m_slot_result = admission::request_end::refused;
         process_event({.m_kind = owner_event_kind::target_refused,
                        .m_cause = verdict == target_response_kind::misdirected
@@ -625,9 +629,9 @@
     }
 }
 
-void owner_exchange::return_connection()
+void owner_exchange::return_connection(bool is_wanted)
 {
-    const bool reusable = m_reader->done() && m_reader->keep_alive() &&
+    const bool reusable = is_wanted && m_reader->done() && m_reader->keep_alive() &&
                           m_state.m_phase != owner_phase::finished && m_exchange.request().done() &&
                           m_request_body_sent;
     const std::optional<duration> idle_limit = keep_alive_timeout(m_reader->head());
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -53,7 +53,7 @@
     void finish_buffered_response(const http::header<false>& head, std::string body);
     void stream_response(const http::header<false>& head, const std::string& first_piece);
     void handle_target_failure(const reason& why, outcome::cause fallback_cause);
-    void return_connection();
+    void return_connection(bool is_wanted = true);
     void clear_crash_suspicion();
 
     void refuse(outcome::cause why, milliseconds retry_hint = {});
@@ -85,6 +85,7 @@
     std::unique_ptr<exchange_watch> m_watch;
     std::unique_ptr<client_connection> m_connection;
     std::optional<response_reader> m_reader;
+    bool m_response_has_id = false; ///< the response names the request that it belongs to
     bool m_request_body_sent =
         true; ///< the whole request has been written to the target's connection
     fiber_group m_body_sender;
