--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -208,7 +208,9 @@
 
 class mesh {
 public:
-    mesh(boost::asio::io_context& io, int targets)
+    // `in_turn`: the choice of the owner does not depend on draws and measured times; the first
+    // call goes to the first one.
+    mesh(boost::asio::io_context& io, int targets, bool in_turn = false)
         : m_io(io), m_timers(io), m_config(make_config(targets)),
           m_entry(io, m_timers, m_stats,
                   {.m_listen = {address_of(100), caller_port},
@@ -218,7 +220,9 @@
                    .m_max_buffered_bytes_per_request = buffered_body::min_bytes,
                    // A wide resend window, so that the result does not depend on the speed of the
                    // machine.
-                   .m_routing = {.m_hedging = false, .m_resend_window = std::chrono::hours(1)}},
+                   .m_routing = {.m_power_of_two = !in_turn,
+                                 .m_hedging = false,
+                                 .m_resend_window = std::chrono::hours(1)}},
                   {.m_config = [this] { return m_config; },
                    .m_is_alive = [](const std::string&) { return true; },
                    .m_is_host = [](const std::string&) { return true; },
@@ -291,10 +295,10 @@
     }
 };
 
-void run_with_mesh(int targets, const std::function<void(mesh&)>& body)
+void run_with_mesh(int targets, const std::function<void(mesh&)>& body, bool in_turn = false)
 {
     testing::run_in_fiber([&](boost::asio::io_context& io) {
-        mesh m(io, targets);
+        mesh m(io, targets, in_turn);
         body(m);
     });
 }
@@ -351,7 +355,6 @@
         void (*m_break)(host&);
     };
     const fault_case cases[] = {
-        {"the target declines", [](host& h) { h.m_target->m_behavior = target_behavior::decline; }},
         {"the target's process is gone", [](host& h) { h.m_target.reset(); }},
         {"the owner drains", [](host& h) { h.m_draining = true; }},
         {"the owner is gone", [](host& h) { h.stop_owner(); }},
@@ -359,7 +362,7 @@
     for (const fault_case& c : cases) {
         BOOST_TEST_CONTEXT(c.m_name)
         {
-            run_with_mesh(2, [&](mesh& m) {
+            const auto body = [&](mesh& m) {
                 c.m_break(m.at(1));
                 for (int i = 0; i < 8; ++i) {
                     const caller_response a = m.call(http::verb::post, "/post", 5);
@@ -368,11 +371,35 @@
                     BOOST_TEST(a.m_body == "5");
                 }
                 BOOST_TEST(m.at(2).m_target->m_runs == 8);
-            });
+            };
+            run_with_mesh(2, body, true);
         }
     }
 }
 
+// A request that a target has declined itself has reached a target, so that sending it to another
+// counts against the retry budget, which starts with one.
+BOOST_AUTO_TEST_CASE(request_declined_by_its_target_is_retried_while_the_budget_lasts)
+{
+    const auto body = [](mesh& m) {
+        m.at(1).m_target->m_behavior = target_behavior::decline;
+        const caller_response first = m.call(http::verb::post, "/post", 5);
+        BOOST_TEST(first.m_status == 200U);
+        BOOST_TEST(first.m_body == "5");
+        BOOST_TEST(m.at(2).m_target->m_runs == 1);
+        for (int i = 0; i < 3; ++i) {
+            const caller_response later = m.call(http::verb::post, "/post", 5);
+            BOOST_TEST(later.m_status == 503U);
+            BOOST_TEST(later.m_outcome == "not-run");
+            BOOST_TEST(later.m_reason == "retry-refused");
+        }
+        BOOST_TEST(m.total_runs() == 1);
+        m.at(1).m_target->m_behavior = target_behavior::respond_with_size;
+        BOOST_TEST(m.call(http::verb::post, "/post", 5).m_status == 200U);
+    };
+    run_with_mesh(2, body, true);
+}
+
 // Targets need not say which request a response is for. A refusal that is written again must not
 // tell the caller of a later request, which runs, that it has not.
 BOOST_AUTO_TEST_CASE(refusal_written_again_does_not_answer_a_later_request)
