Relays: a cursor belongs to one start of a relay

A follower could miss changes without noticing: the registrations that came between two starts of its relay (requests to targets that have left, or none to new ones). Cause: cursors were numbers that are counted on from the start's time of day, and taken to rise over the starts of a host. A clock that is set back gives them out again, as a restored store its revisions. Change: a cursor names the start that it belongs to, on the wire too; another start's has no answer. Evidence: cursors_of_a_start_with_a_later_clock_are_rejected failed before, passes now.

--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -145,7 +145,10 @@
     if (part.m_relay_selector.role() == relay_role::none) {
         return refer(status_declined);
     }
-    const auto cursor = number_parameter(target, "cursor", UINT64_MAX);
+    std::optional<source::relay_cursor> cursor;
+    if (const auto number = number_parameter(target, "cursor", UINT64_MAX)) {
+        cursor = {number_parameter(target, "start", UINT64_MAX).value_or(0), *number};
+    }
     if (cursor) {
         wait_until(exchange, wait_parameter(target),
                    [&] { return !can_serve(part) || part.m_relay.cursor() != *cursor; });
--- a/pomelohead/discovery/relay_server.h
+++ b/pomelohead/discovery/relay_server.h
@@ -4,7 +4,8 @@
 //     GET /relay/PART?epoch=E&known=R&wait_ms=M   all keys of the part, without the values up to
 //                                          revision R of epoch E; waits up to M ms until this node
 //                                          can answer
-//     GET /relay/PART?cursor=N&wait_ms=M   changes after N; waits up to M ms for one
+//     GET /relay/PART?start=S&cursor=N&wait_ms=M   changes after N of the relay's start S; waits up
+//                                          to M ms for one
 //     GET /relay/members?domain=D&wait_ms=M   a referral to the members of a failure domain; waits
 //                                          up to M ms until they are known
 //
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -288,7 +288,8 @@
         const pool_ptr pool = m_pool; // a concurrent call may replace it
         const milliseconds wait = std::min(request.m_wait, m_options.m_timing.m_poll_wait);
         store_answer changes = query(*pool, *chosen,
-                                     "?cursor=" + std::to_string(m_cursor) +
+                                     "?start=" + std::to_string(m_cursor.m_start) +
+                                         "&cursor=" + std::to_string(m_cursor.m_number) +
                                          "&wait_ms=" + std::to_string(wait.count()),
                                      wait + m_options.m_timing.m_answer_slack);
         if (changes.m_status != store_status::failed || m_cancelled) {
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -69,7 +69,7 @@
     forwarding::in_flight_calls m_in_flight;
     // Identifies the latest call: an earlier call that ends later must not set the cursor.
     std::uint64_t m_latest_call = 0;
-    std::uint64_t m_cursor = 0;               ///< of m_relay
+    source::relay_cursor m_cursor;            ///< of m_relay
     source::store_revision m_newest_revision; ///< of the part, from relays and the store
     bool m_can_resume = false;                ///< the latest answer was complete up to its revision
     bool m_cancelled = false;
--- a/pomelohead/source/relay.cc
+++ b/pomelohead/source/relay.cc
@@ -14,7 +14,7 @@
 {
     entry& state = m_entries[change.m_key];
     m_tombstone_count -= state.m_is_tombstone ? 1 : 0;
-    state = {change.m_revision, ++m_cursor, false, *change.m_value, std::nullopt};
+    state = {change.m_revision, ++m_cursor.m_number, false, *change.m_value, std::nullopt};
     m_revision = std::max(m_revision, change.m_revision);
     m_on_change();
 }
@@ -25,7 +25,8 @@
     if (it == m_entries.end() || it->second.m_is_tombstone) {
         return;
     }
-    it->second = {std::max(revision, it->second.m_revision), ++m_cursor, true, {}, std::nullopt};
+    it->second = {
+        std::max(revision, it->second.m_revision), ++m_cursor.m_number, true, {}, std::nullopt};
     m_revision = std::max(m_revision, it->second.m_revision);
     ++m_tombstone_count;
     evict_old_tombstones();
@@ -38,11 +39,11 @@
         auto oldest = m_entries.end();
         for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
             if (it->second.m_is_tombstone &&
-                (oldest == m_entries.end() || it->second.m_cursor < oldest->second.m_cursor)) {
+                (oldest == m_entries.end() || it->second.m_change < oldest->second.m_change)) {
                 oldest = it;
             }
         }
-        m_oldest_cursor = oldest->second.m_cursor;
+        m_oldest_change = oldest->second.m_change;
         m_entries.erase(oldest);
         --m_tombstone_count;
     }
@@ -80,14 +81,15 @@
     return all;
 }
 
-std::optional<relayed_changes> relay::changes_after(std::uint64_t cursor)
+std::optional<relayed_changes> relay::changes_after(const relay_cursor& cursor)
 {
-    if (cursor < m_oldest_cursor || cursor > m_cursor) {
+    if (cursor.m_start != m_cursor.m_start || cursor.m_number < m_oldest_change ||
+        cursor.m_number > m_cursor.m_number) {
         return std::nullopt;
     }
     relayed_changes changes = empty_changes();
     for (auto& [key, state] : m_entries) {
-        if (state.m_cursor > cursor) {
+        if (state.m_change > cursor.m_number) {
             changes.m_items.push_back(to_item(key, state));
         }
     }
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -3,10 +3,10 @@
 // The relay keeps the newest value of each key, and a tombstone for each removed key. It
 // numbers changes with a counter of its own, the cursor; a follower that has all changes up
 // to a cursor asks for the later ones. Of several changes to one key it gets only the
-// newest. A cursor of another relay, or one from before the oldest tombstone that is still
-// kept, has no answer: the follower must list again. A follower that comes from another relay
-// or from the store lists with the revision that it has, and gets the values of the keys that
-// changed since and only the names of the others.
+// newest. A cursor of another relay or of another start, or one from before the oldest tombstone
+// that is still kept, has no answer: the follower must list again. A follower that comes from
+// another relay or from the store lists with the revision that it has, and gets the values of the
+// keys that changed since and only the names of the others.
 //
 //     relay feed(incarnation);
 //     feed.put({.m_key = "a", .m_revision = {1, 7}, .m_value = "1"});
@@ -32,9 +32,17 @@
     bool operator==(const relayed_item&) const = default;
 };
 
+/// A position in the changes that one start of a relay has seen.
+struct relay_cursor {
+    std::uint64_t m_start = 0;  ///< tells the starts of all relays apart
+    std::uint64_t m_number = 0; ///< of the latest change
+
+    bool operator==(const relay_cursor&) const = default;
+};
+
 /// The changes between two cursors.
 struct relayed_changes {
-    std::uint64_t m_cursor = 0;
+    relay_cursor m_cursor;
     store_revision m_revision; ///< the store's revision of the newest change to this part
     /// The store's revision up to which the relay has all changes, so that a follower can watch the
     /// store after it; none while that is not certain.
@@ -56,11 +64,8 @@
 /// The newest state of one part of the store.
 class relay {
 public:
-    /// `first_cursor` must exceed all cursors of earlier processes on the same host.
-    explicit relay(std::uint64_t first_cursor)
-        : m_cursor(first_cursor), m_oldest_cursor(first_cursor)
-    {
-    }
+    /// `start` must differ from that of earlier processes on the same host.
+    explicit relay(std::uint64_t start) : m_cursor{start, 0} {}
 
     void put(const key_change& change);
 
@@ -76,13 +81,13 @@
     /// Sets relayed_changes::m_complete_revision of the answers from now on.
     void set_complete_revision(const store_revision& revision) { m_complete_revision = revision; }
 
-    [[nodiscard]] std::uint64_t cursor() const { return m_cursor; }
+    [[nodiscard]] const relay_cursor& cursor() const { return m_cursor; }
 
     /// All present keys, with the values that are newer than `known_revision`.
     [[nodiscard]] relayed_changes list(const store_revision& known_revision);
 
     /// The changes after `cursor`. Returns nothing if the relay cannot tell what changed since.
-    [[nodiscard]] std::optional<relayed_changes> changes_after(std::uint64_t cursor);
+    [[nodiscard]] std::optional<relayed_changes> changes_after(const relay_cursor& cursor);
 
     /// Called after each change to a key or to feed().
     std::function<void()> m_on_change = [] {};
@@ -91,7 +96,7 @@
     // Values are packed on the first request for them: most nodes never get a request.
     struct entry {
         store_revision m_revision;
-        std::uint64_t m_cursor = 0;
+        std::uint64_t m_change = 0; ///< the number of its latest change
         bool m_is_tombstone = false;
         std::string m_value;
         std::optional<packed_value> m_packed_value;
@@ -104,8 +109,8 @@
     }
     [[nodiscard]] static relayed_item to_item(const std::string& key, entry& state);
 
-    std::uint64_t m_cursor;
-    std::uint64_t m_oldest_cursor; ///< older cursors cannot be answered
+    relay_cursor m_cursor;
+    std::uint64_t m_oldest_change = 0; ///< cursors before this change cannot be answered
     store_revision m_revision;
     store_revision m_complete_revision;
     relay_feed m_feed = relay_feed::none;
--- a/pomelohead/source/relay_codec.cc
+++ b/pomelohead/source/relay_codec.cc
@@ -19,13 +19,15 @@
     return json::array({revision.m_epoch, revision.m_number});
 }
 
-std::optional<store_revision> revision_from_json(const json& in)
+// Position is a pair of numbers: store_revision or relay_cursor.
+template <class Position>
+std::optional<Position> position_from_json(const json& in)
 {
     if (!in.is_array() || in.size() != 2 || !in[0].is_number_unsigned() ||
         !in[1].is_number_unsigned()) {
         return std::nullopt;
     }
-    return store_revision{in[0].get<std::uint64_t>(), in[1].get<std::uint64_t>()};
+    return Position{in[0].get<std::uint64_t>(), in[1].get<std::uint64_t>()};
 }
 
 json item_to_json(const relayed_item& item)
@@ -46,7 +48,7 @@
         !in[0].is_string()) {
         return std::nullopt;
     }
-    const auto revision = revision_from_json(in[1]);
+    const auto revision = position_from_json<store_revision>(in[1]);
     if (!revision) {
         return std::nullopt;
     }
@@ -75,9 +77,9 @@
         unchanged.push_back(json::array({present.m_key, to_json(present.m_revision)}));
     }
     std::string out;
-    json::to_cbor(json::array({changes.m_cursor, to_json(changes.m_revision),
-                               to_json(changes.m_complete_revision), std::move(items),
-                               std::move(unchanged), changes.m_relays}),
+    json::to_cbor(json::array({json::array({changes.m_cursor.m_start, changes.m_cursor.m_number}),
+                               to_json(changes.m_revision), to_json(changes.m_complete_revision),
+                               std::move(items), std::move(unchanged), changes.m_relays}),
                   out);
     return out;
 }
@@ -89,16 +91,17 @@
         return std::nullopt;
     }
     const json in = json::from_cbor(bytes, true, false);
-    if (!in.is_array() || in.size() != change_field_count || !in[0].is_number_unsigned() ||
-        !in[3].is_array() || !in[4].is_array() || !in[5].is_array()) {
+    if (!in.is_array() || in.size() != change_field_count || !in[3].is_array() ||
+        !in[4].is_array() || !in[5].is_array()) {
         return std::nullopt;
     }
-    const auto revision = revision_from_json(in[1]);
-    const auto complete_revision = revision_from_json(in[2]);
-    if (!revision || !complete_revision) {
+    const auto cursor = position_from_json<relay_cursor>(in[0]);
+    const auto revision = position_from_json<store_revision>(in[1]);
+    const auto complete_revision = position_from_json<store_revision>(in[2]);
+    if (!cursor || !revision || !complete_revision) {
         return std::nullopt;
     }
-    relayed_changes changes{in[0].get<std::uint64_t>(), *revision, *complete_revision, {}, {}, {}};
+    relayed_changes changes{*cursor, *revision, *complete_revision, {}, {}, {}};
     for (const json& entry : in[3]) {
         auto item = item_from_json(entry);
         if (!item) {
--- a/pomelohead/source/relay_test.cc
+++ b/pomelohead/source/relay_test.cc
@@ -80,7 +80,7 @@
 {
     relay feed(1'000);
     feed.put({"a", {1, 50}, "1"});
-    const std::uint64_t cursor = feed.cursor();
+    const relay_cursor cursor = feed.cursor();
     feed.remove("a", {1, 40}); // the follower's revision lags until one answer is processed
     BOOST_TEST((feed.changes_after(cursor)->m_items.at(0).m_revision == store_revision{1, 50}));
     BOOST_TEST(feed.list({}).m_items.empty());
@@ -101,6 +101,20 @@
     BOOST_TEST(!earlier.changes_after(later.cursor()));
 }
 
+// The clock that tells the starts of a host apart may have been set back in between, so that the
+// changes of both starts could have the same numbers.
+BOOST_AUTO_TEST_CASE(cursors_of_a_start_with_a_later_clock_are_rejected)
+{
+    relay earlier(1'000);
+    earlier.put({"a", {1, 5}, "1"});
+    earlier.put({"b", {1, 6}, "1"});
+    relay later(998);
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        later.put({"k" + std::to_string(i), {1, 7 + i}, "1"});
+    }
+    BOOST_TEST(!later.changes_after(earlier.cursor()));
+}
+
 // A node that was away too long must not miss a removal: it gets each one, or no answer,
 // so that it lists again.
 BOOST_AUTO_TEST_CASE(a_lagging_follower_gets_every_removal_or_no_answer)
@@ -109,7 +123,7 @@
     for (int i = 0; i < 2'000; ++i) {
         feed.put({"k" + std::to_string(i), {1, static_cast<std::uint64_t>(i) + 1}, "1"});
     }
-    const std::uint64_t cursor = feed.cursor();
+    const relay_cursor cursor = feed.cursor();
     key_values applied;
     apply_changes(feed.list({}), applied);
     for (int i = 0; i < 1'000; ++i) {
@@ -190,7 +204,7 @@
     relay feed(1'000);
     feed.put({"a", {1, 5}, "1"});
     feed.put({"b", {1, 6}, large_value(4)});
-    const std::uint64_t cursor = feed.cursor();
+    const relay_cursor cursor = feed.cursor();
     feed.remove("a", {1, 7});
     feed.set_complete_revision({1, 9});
     relayed_changes with_relays = feed.list({1, 5});
@@ -210,14 +224,16 @@
     for (const std::string_view bad :
          {"\x04\x80\x80"sv, "\xa0\x80\x80"sv, "\x81\x82\x01\x82\x01\x02\x80\x80"sv,
           "\x81\x82\x61\x61\x02\x80\x80"sv, "\x80\x81\x01\x80"sv, "\x80\x80\x81\x01"sv}) {
-        const std::string with_revisions = "\x86\x01\x82\x01\x02\x82\x01\x03" + std::string(bad);
+        const std::string with_revisions =
+            "\x86\x82\x09\x01\x82\x01\x02\x82\x01\x03" + std::string(bad);
         BOOST_TEST(!decode_changes(with_revisions, why));
         BOOST_TEST((why.m_code == reason_code::malformed));
     }
-    for (const std::string_view bad :
-         {"\x86\x61\x61\x82\x01\x02\x82\x01\x03\x80\x80\x80"sv,
-          "\x86\x01\x02\x82\x01\x03\x80\x80\x80"sv, "\x86\x01\x81\x02\x82\x01\x03\x80\x80\x80"sv,
-          "\x86\x01\x82\x01\x02\x82\x20\x03\x80\x80\x80"sv}) {
+    for (const std::string_view bad : {"\x86\x82\x09\x61\x61\x82\x01\x02\x82\x01\x03\x80\x80\x80"sv,
+                                       "\x86\x82\x09\x01\x02\x82\x01\x03\x80\x80\x80"sv,
+                                       "\x86\x01\x82\x01\x02\x82\x01\x03\x80\x80\x80"sv,
+                                       "\x86\x82\x09\x01\x81\x02\x82\x01\x03\x80\x80\x80"sv,
+                                       "\x86\x82\x09\x01\x82\x01\x02\x82\x20\x03\x80\x80\x80"sv}) {
         BOOST_TEST(!decode_changes(bad, why));
         BOOST_TEST((why.m_code == reason_code::malformed));
     }
