Test: two nodes on a stand-in store that is restored from a copy

The parts of the way after a restore had tests of their own, but nothing played it with real nodes, the platform's client and its header. Change: the stand-in can be restored; a test checks that lost versions stay in force until they are written again, that the next version and a draining target are seen, and that calls stay few.

--- a/testing/platform_standin.py
+++ b/testing/platform_standin.py
@@ -5,7 +5,8 @@
     back_end = BackEnd(("127.93.0.1", 8145), "i-1")
 
 Both serve in threads of this process until close(). The store supports paged listing and
-watches, and can refuse calls, stop responding, drop connections and compact its history.
+watches, can refuse calls, stop responding, drop connections, compact its history, and be
+restored from a copy.
 """
 import base64
 import json
@@ -59,6 +60,8 @@
         self._history = []
         self._compacted_revision = 0
         self._revision = 100
+        self._era = 1
+        self._copy = None
         self._changed = threading.Condition()
         store = self
 
@@ -102,6 +105,18 @@
             self._compacted_revision = self._revision
             self._history.clear()
 
+    def take_copy(self):
+        with self._changed:
+            self._copy = (dict(self._items), list(self._history), self._revision)
+
+    def restore(self):
+        """Goes back to the copy: what was written since is lost, and its revisions come again."""
+        with self._changed:
+            items, history, self._revision = self._copy
+            self._items, self._history = dict(items), list(history)
+            self._era += 1
+            self._changed.notify_all()
+
     def serve(self, call):
         self.calls += 1
         if self.mode == "silent":
@@ -125,10 +140,11 @@
         if self.mode != "up":
             call.close_connection = True  # the outage began while a watch was waiting
             return
+        era = ("Store-Era", str(self._era))
         if body is None:
-            call.answer(410)
+            call.answer(410, b"", [era])
             return
-        call.answer(200, json.dumps(body).encode(), [("Content-Type", "application/json")])
+        call.answer(200, json.dumps(body).encode(), [("Content-Type", "application/json"), era])
 
     def _range(self, query):
         with self._changed:
@@ -146,12 +162,13 @@
                     if e["rev"] > after and e["key"].startswith(query.get("prefix", ""))]
 
         with self._changed:
-            while after >= self._compacted_revision and not new_events() and self.mode == "up":
+            while (self._compacted_revision <= after <= self._revision and not new_events()
+                   and self.mode == "up"):
                 left = end - time.monotonic()
                 if left <= 0:
                     break
                 self._changed.wait(left)
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return None
             return {"events": new_events(), "storeRevision": self._revision}
 
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -181,6 +181,25 @@
         self.store.put("servers/i-1", registration(1, sequence=9))
         self.wait(lambda: self.targets_seen(1) == {"i-1"}, "the entry still missing is removed")
 
+    def test_changes_after_the_store_was_restored_are_in_force(self):
+        self.store.take_copy()
+        for version in (5, 6, 7):
+            self.store.put("op/config", configuration(version, f"/lost-{version}/"))
+        for number in (1, 2):
+            self.wait(lambda n=number: self.call(n, "/lost-7/1")[0] == 200, "version 7 in force")
+        self.store.restore()
+        for number in (1, 2):
+            self.wait(lambda n=number: '"store_restored"' in self.log(n), "the restore is seen")
+            self.assertEqual(self.call(number, "/lost-7/1")[0], 200)
+        self.store.put("op/config", configuration(7, "/lost-7/"))
+        self.store.put("servers/i-2", registration(2, "draining", 2))
+        self.store.put("op/config", configuration(9, "/next/"))
+        calls = self.store.calls
+        for number in (1, 2):
+            self.wait(lambda n=number: self.call(n, "/next/1")[0] == 200, "version 9 in force")
+            self.wait(lambda n=number: '"target_draining"' in self.log(n), "the draining is seen")
+        self.assertLess(self.store.calls - calls, 200)
+
     def test_stop_finishes_requests_and_turns_unready(self):
         for back_end in self.back_ends.values():
             back_end.delay_s = 1.0
