Test: any series of changes, outages, lost histories and restores ends with the store's values

Single restores were tested one by one; the fault came from a combination that no test had. Change: 300 seeded series of 40 steps against the follower, with paged lists and both ways of watching.

--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -391,6 +391,57 @@
     BOOST_TEST((fixture.m_values == key_values{{"a", "1"}, {"b", "1"}, {"c", "1"}}));
 }
 
+// Changes, outages, lost histories, copies and restores in any order: in the end the follower has
+// what the store has, and no more calls than the pauses between them allow.
+BOOST_AUTO_TEST_CASE(after_any_series_of_faults_the_values_are_those_of_the_store)
+{
+    constexpr int series = 300;
+    constexpr int steps = 40;
+    for (std::uint64_t seed = 0; seed < series; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            std::mt19937_64 random(seed);
+            follower_fixture fixture(1 + random() % 4, {.m_list_after_changes = seed % 2 == 0});
+            fixture.m_store.put("a", "first");
+            fixture.m_store.take_copy();
+            fixture.m_follower->start();
+            const auto key = [&random] {
+                return std::string(1, static_cast<char>('a' + random() % 6));
+            };
+            for (int step = 0; step < steps; ++step) {
+                switch (random() % 10) {
+                case 0:
+                    fixture.m_store.take_copy();
+                    break;
+                case 1:
+                    fixture.m_store.restore(random() % 2 == 0);
+                    break;
+                case 2:
+                    fixture.m_store.set_mode(random() % 2 == 0 ? store_mode::down : store_mode::up);
+                    fixture.m_store.forget_history(); // an outage ends the watch
+                    break;
+                case 3:
+                    fixture.m_store.forget_history();
+                    break;
+                case 4:
+                case 5:
+                    fixture.m_store.erase(key());
+                    break;
+                default:
+                    fixture.m_store.put(key(), std::to_string(step));
+                    break;
+                }
+                fixture.m_timers.advance(milliseconds(random() % 800));
+            }
+            fixture.m_store.set_mode(store_mode::up);
+            const std::size_t before = fixture.m_store.calls();
+            fixture.m_timers.advance(25s);
+            BOOST_TEST((fixture.m_values == fixture.m_store.values()));
+            BOOST_TEST(fixture.m_store.calls() - before <= 20U);
+        }
+    }
+}
+
 } // namespace
 // A list from another relay names unchanged keys without their values. What it does not name is
 // gone, and a revision that differs from the known one shows that the values are needed after all.
