Store follower: an answer without a revision does not hide a restore

Found on reading the diff: the revision by which a restore is recognised was replaced by each answer's, and a relay that has no change of a part states none. The restore after it started no grace, and targets that had registered just before it were dropped at once. Change: the newest revision of all answers is kept. Evidence: a_restore_is_seen_after_an_answer_without_a_revision failed before, passes now.

--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -276,7 +276,8 @@
 // Restores need not interrupt a call, so that contact with the store may not have been lost.
 void store_follower::detect_restore(const store_answer& answer)
 {
-    const store_revision known = std::exchange(m_seen_revision, answer.m_revision);
+    const store_revision known = m_seen_revision;
+    m_seen_revision = std::max(known, answer.m_revision);
     if (compare_histories(known, answer.m_revision) == history_relation::restored) {
         start_removal_grace();
         m_hooks.m_on_restored(known, answer.m_revision);
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -143,7 +143,7 @@
     std::size_t m_list_ignored = 0;
     bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
-    store_revision m_seen_revision;  // of the latest answer; tells a restore
+    store_revision m_seen_revision;  // the newest of all answers; tells a restore
     bool m_history_lost = false;     // the latest watch was refused for its revision
     bool m_failure_reported = false; // m_on_contact_lost has been called since the start
     bool m_had_contact = false;      // a call has succeeded since the start
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -64,7 +64,7 @@
     struct history_case {
         store_revision m_known;
         store_revision m_answered;
-        history_relation m_relation;
+        history_relation m_relation = history_relation::same;
     };
     const history_case cases[] = {
         {{}, {3, 10}, history_relation::same},
@@ -502,6 +502,46 @@
     BOOST_TEST(lists.at(2).m_known_revision.is_none());
 }
 
+// A relay that has no change of the part to state a revision of must not hide a restore.
+BOOST_AUTO_TEST_CASE(a_restore_is_seen_after_an_answer_without_a_revision)
+{
+    testing::manual_timer_service timers;
+    key_values values;
+    std::vector<store_answer> lists(2);
+    for (store_answer& page : lists) {
+        page.m_status = store_status::ok;
+    }
+    lists[0].m_revision = {1, 10};
+    lists[0].m_items = {{"a", {1, 8}, "1"}, {"lost", {1, 9}, "1"}};
+    lists[1].m_revision = {2, 9};
+    lists[1].m_items = {{"a", {2, 8}, "1"}};
+    std::size_t list_calls = 0;
+    int watch_calls = 0;
+    follower_hooks hooks;
+    hooks.m_list = [&](const list_request&, const auto& done) { done(lists.at(list_calls++)); };
+    hooks.m_watch = [&](const watch_request&, const auto& done) {
+        if (++watch_calls == 1) {
+            store_answer idle;
+            idle.m_status = store_status::ok;
+            idle.m_relayed = true;
+            done(idle);
+        }
+    };
+    hooks.m_on_put = [&](const key_change& c) { values[c.m_key] = *c.m_value; };
+    hooks.m_on_removed = [&](const std::string& key, const store_revision&) { values.erase(key); };
+    hooks.m_on_answer_applied = [] {};
+    hooks.m_on_contact_lost = [](const reason&) {};
+    hooks.m_on_contact_regained = [] {};
+    store_follower follower({}, timers, hooks, 1);
+    follower.start();
+    timers.advance(1s);
+    follower.restart();
+    timers.advance(1s);
+    BOOST_TEST((values == key_values{{"a", "1"}, {"lost", "1"}}));
+    timers.advance(2s);
+    BOOST_TEST((values == key_values{{"a", "1"}}));
+}
+
 // While a removal waits for the end of its grace, nobody may take over from this node's revision:
 // the removal would never be told again.
 BOOST_AUTO_TEST_CASE(no_revision_is_complete_while_a_removal_is_pending)
