--- a/pomelohead/forwarding/http_get.cc
+++ b/pomelohead/forwarding/http_get.cc
@@ -47,7 +47,7 @@
         return std::nullopt;
     }
     response.m_status = reader.head().result_int();
-    response.m_fields = reader.head();
+    response.m_fields = static_cast<const http::fields&>(reader.head());
     if (reader.keep_alive()) {
         pool.release(std::move(connection));
     }
--- a/pomelohead/source/revision.h
+++ b/pomelohead/source/revision.h
@@ -12,6 +12,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace pomelohead::source {
 
@@ -20,7 +21,11 @@
     std::uint64_t m_epoch = 0;  ///< as the store states it; 0: the store states none
     std::uint64_t m_number = 0; ///< 0: before the first change
 
-    auto operator<=>(const store_revision&) const = default;
+    bool operator==(const store_revision&) const = default;
+    [[nodiscard]] constexpr std::strong_ordering operator<=>(const store_revision& other) const
+    {
+        return std::tie(m_epoch, m_number) <=> std::tie(other.m_epoch, other.m_number);
+    }
     [[nodiscard]] constexpr bool is_none() const { return m_number == 0; }
 };
 
