Relays: values that a restored store still has are not sent again

After a restore each node fetched the whole configuration again, all at the same time (74 nodes of a large deployment over links of a few Mbit/s), as each value has a revision of the new epoch. Change: a relay that sees the same value in a later epoch keeps the revision of before beside the new one; its followers get neither value nor wake-up, and one that lists is told the name with both. Evidence: values_that_a_restored_store_still_has_are_not_sent_again fails without the comparison.

--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -36,6 +36,8 @@
 struct key_revision {
     std::string m_key;
     store_revision m_revision;
+    /// The revision of the same value before the store was restored; none if it is not known.
+    store_revision m_earlier_revision;
 
     bool operator==(const key_revision&) const = default;
 };
--- a/pomelohead/source/relay.cc
+++ b/pomelohead/source/relay.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/source/relay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelohead::source {
 namespace {
@@ -13,12 +14,25 @@
 void relay::put(const key_change& change)
 {
     entry& state = m_entries[change.m_key];
-    m_tombstone_count -= state.m_is_tombstone ? 1 : 0;
-    state = {change.m_revision, ++m_cursor.m_number, false, *change.m_value, std::nullopt};
     m_revision = std::max(m_revision, change.m_revision);
+    const bool is_restored =
+        compare_histories(state.m_revision, change.m_revision) == history_relation::restored;
+    if (is_restored && has_value(state, *change.m_value)) {
+        state.m_earlier_revision = std::exchange(state.m_revision, change.m_revision);
+        return;
+    }
+    m_tombstone_count -= state.m_is_tombstone ? 1 : 0;
+    state = {change.m_revision, {}, ++m_cursor.m_number, false, *change.m_value, std::nullopt};
     m_on_change();
 }
 
+bool relay::has_value(const entry& state, const std::string& value)
+{
+    reason why;
+    return !state.m_is_tombstone &&
+           (state.m_packed_value ? unpack(*state.m_packed_value, why) : state.m_value) == value;
+}
+
 void relay::remove(const std::string& key, const store_revision& revision)
 {
     const auto it = m_entries.find(key);
@@ -26,7 +40,7 @@
         return;
     }
     it->second = {
-        std::max(revision, it->second.m_revision), ++m_cursor.m_number, true, {}, std::nullopt};
+        std::max(revision, it->second.m_revision), {}, ++m_cursor.m_number, true, {}, std::nullopt};
     m_revision = std::max(m_revision, it->second.m_revision);
     ++m_tombstone_count;
     evict_old_tombstones();
@@ -71,8 +85,10 @@
         if (state.m_is_tombstone) {
             continue;
         }
-        if (state.m_revision <= known_revision) {
-            all.m_unchanged.push_back({key, state.m_revision});
+        const store_revision& oldest =
+            state.m_earlier_revision.is_none() ? state.m_revision : state.m_earlier_revision;
+        if (oldest <= known_revision) {
+            all.m_unchanged.push_back({key, state.m_revision, state.m_earlier_revision});
         }
         else {
             all.m_items.push_back(to_item(key, state));
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -2,7 +2,8 @@
 //
 // The relay keeps the newest value of each key, and a tombstone for each removed key. It
 // numbers changes with a counter of its own, the cursor; a follower that has all changes up
-// to a cursor asks for the later ones. Of several changes to one key it gets only the
+// to a cursor asks for the later ones. A value that a restored store still has is no change. Of
+// several changes to one key it gets only the
 // newest. A cursor of another relay or of another start, or one from before the oldest tombstone
 // that is still kept, has no answer: the follower must list again. A follower that comes from
 // another relay or from the store lists with the revision that it has, and gets the values of the
@@ -96,12 +97,14 @@
     // Values are packed on the first request for them: most nodes never get a request.
     struct entry {
         store_revision m_revision;
-        std::uint64_t m_change = 0; ///< the number of its latest change
+        store_revision m_earlier_revision; ///< see key_revision
+        std::uint64_t m_change = 0;        ///< the number of its latest change
         bool m_is_tombstone = false;
         std::string m_value;
         std::optional<packed_value> m_packed_value;
     };
 
+    [[nodiscard]] static bool has_value(const entry& state, const std::string& value);
     void evict_old_tombstones();
     [[nodiscard]] relayed_changes empty_changes() const
     {
--- a/pomelohead/source/relay_codec.cc
+++ b/pomelohead/source/relay_codec.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t change_field_count = 6;
 constexpr std::size_t removal_field_count = 2;
 constexpr std::size_t value_field_count = 5;
+constexpr std::size_t unchanged_field_count = 3;
 
 json to_json(const store_revision& revision)
 {
@@ -64,6 +65,19 @@
     return item;
 }
 
+std::optional<key_revision> unchanged_from_json(const json& in)
+{
+    if (!in.is_array() || in.size() != unchanged_field_count || !in[0].is_string()) {
+        return std::nullopt;
+    }
+    const auto revision = position_from_json<store_revision>(in[1]);
+    const auto earlier = position_from_json<store_revision>(in[2]);
+    if (!revision || !earlier) {
+        return std::nullopt;
+    }
+    return key_revision{in[0].get<std::string>(), *revision, *earlier};
+}
+
 } // namespace
 
 std::string encode(const relayed_changes& changes)
@@ -74,7 +88,8 @@
     }
     json unchanged = json::array();
     for (const key_revision& present : changes.m_unchanged) {
-        unchanged.push_back(json::array({present.m_key, to_json(present.m_revision)}));
+        unchanged.push_back(json::array(
+            {present.m_key, to_json(present.m_revision), to_json(present.m_earlier_revision)}));
     }
     std::string out;
     json::to_cbor(json::array({json::array({changes.m_cursor.m_start, changes.m_cursor.m_number}),
@@ -110,11 +125,11 @@
         changes.m_items.push_back(std::move(*item));
     }
     for (const json& entry : in[4]) {
-        const auto present = item_from_json(entry);
-        if (!present || present->m_value) {
+        auto present = unchanged_from_json(entry);
+        if (!present) {
             return std::nullopt;
         }
-        changes.m_unchanged.push_back({present->m_key, present->m_revision});
+        changes.m_unchanged.push_back(std::move(*present));
     }
     for (const json& relay : in[5]) {
         if (!relay.is_string()) {
--- a/pomelohead/source/relay_test.cc
+++ b/pomelohead/source/relay_test.cc
@@ -68,7 +68,7 @@
     feed.remove("c", {1, 8});
     feed.set_complete_revision({1, 9});
     const relayed_changes part = feed.list({1, 5});
-    BOOST_TEST((part.m_unchanged == std::vector<key_revision>{{"a", {1, 5}}}));
+    BOOST_TEST((part.m_unchanged == std::vector<key_revision>{{"a", {1, 5}, {}}}));
     BOOST_TEST(part.m_items.size() == 1U);
     BOOST_TEST(part.m_items.at(0).m_key == "b");
     BOOST_TEST((part.m_complete_revision == store_revision{1, 9}));
@@ -76,6 +76,35 @@
     BOOST_TEST(feed.list({1, 9}).m_items.empty());
 }
 
+// A configuration is large, and after a restore all followers of a relay list at the same time.
+BOOST_AUTO_TEST_CASE(values_that_a_restored_store_still_has_are_not_sent_again)
+{
+    relay feed(1'000);
+    feed.put({"same", {1, 5}, large_value(1)});
+    feed.put({"other", {1, 6}, "1"});
+    feed.put({"packed", {1, 7}, large_value(2)});
+    BOOST_TEST(feed.list({}).m_items.size() == 3U); // packs the values
+    const relay_cursor cursor = feed.cursor();
+    feed.put({"same", {2, 5}, large_value(1)});
+    feed.put({"other", {2, 6}, "2"});
+    feed.put({"packed", {2, 7}, large_value(2)});
+    const auto changes = feed.changes_after(cursor);
+    BOOST_REQUIRE(changes);
+    BOOST_TEST(changes->m_items.size() == 1U);
+    BOOST_TEST(changes->m_items.at(0).m_key == "other");
+    BOOST_TEST((changes->m_revision == store_revision{2, 7}));
+    const relayed_changes for_old = feed.list({1, 20});
+    BOOST_TEST(for_old.m_items.size() == 1U);
+    BOOST_TEST((for_old.m_unchanged ==
+                std::vector<key_revision>{{"packed", {2, 7}, {1, 7}}, {"same", {2, 5}, {1, 5}}}));
+    BOOST_TEST(feed.list({1, 6}).m_items.size() == 2U); // knows "same" only
+    reason why;
+    BOOST_TEST((decode_changes(encode(for_old), why) == for_old));
+    // Within an epoch each change counts, also one to an equal value.
+    feed.put({"same", {2, 9}, large_value(1)});
+    BOOST_TEST(feed.list({2, 8}).m_items.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_removal_keeps_the_revision_of_a_newer_value)
 {
     relay feed(1'000);
@@ -223,7 +252,8 @@
     using namespace std::string_view_literals;
     for (const std::string_view bad :
          {"\x04\x80\x80"sv, "\xa0\x80\x80"sv, "\x81\x82\x01\x82\x01\x02\x80\x80"sv,
-          "\x81\x82\x61\x61\x02\x80\x80"sv, "\x80\x81\x01\x80"sv, "\x80\x80\x81\x01"sv}) {
+          "\x81\x82\x61\x61\x02\x80\x80"sv, "\x80\x81\x01\x80"sv,
+          "\x80\x81\x82\x61\x61\x82\x01\x02\x80"sv, "\x80\x80\x81\x01"sv}) {
         const std::string with_revisions =
             "\x86\x82\x09\x01\x82\x01\x02\x82\x01\x03" + std::string(bad);
         BOOST_TEST(!decode_changes(with_revisions, why));
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -69,9 +69,11 @@
 {
     for (const key_revision& present : keys) {
         const auto it = m_keys.find(present.m_key);
-        if (it == m_keys.end() || it->second.m_revision != present.m_revision) {
+        if (it == m_keys.end() || (it->second.m_revision != present.m_revision &&
+                                   it->second.m_revision != present.m_earlier_revision)) {
             return false;
         }
+        it->second.m_revision = present.m_revision;
         it->second.m_in_list = true;
         it->second.m_removal_pending = false;
     }
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -482,7 +482,8 @@
         return answer;
     };
     list_answers = {list_of(10, {{"a", {1, 5}, "1"}, {"b", {1, 6}, "1"}, {"c", {1, 7}, "1"}}, {})};
-    store_answer switched = list_of(12, {{"d", {1, 11}, "1"}}, {{"a", {1, 5}}, {"b", {1, 6}}});
+    store_answer switched =
+        list_of(12, {{"d", {1, 11}, "1"}}, {{"a", {1, 5}, {}}, {"b", {1, 6}, {}}});
     switched.m_is_complete_list = true;
     watch_answers = {switched};
     store_follower follower({}, timers, hooks, 1);
@@ -492,7 +493,7 @@
     BOOST_TEST((follower.complete_revision() == store_revision{1, 12}));
     BOOST_TEST(lists.size() == 1U);
 
-    list_answers = {list_of(13, {}, {{"a", {1, 5}}, {"b", {1, 9}}}),
+    list_answers = {list_of(13, {}, {{"a", {1, 5}, {}}, {"b", {1, 9}, {}}}),
                     list_of(13, {{"a", {1, 5}, "1"}, {"b", {1, 9}, "2"}}, {})};
     follower.restart();
     timers.advance(1s);
