Relay: headers say what a restore changes, and the calls one by one

Cause: read as a newcomer, the relay's head ran its ideas together and the table of calls had outgrown its columns. Change: comments only. Result: no code changed.

--- a/pomelohead/discovery/relay_server.h
+++ b/pomelohead/discovery/relay_server.h
@@ -1,13 +1,13 @@
 // HTTP server for other nodes: relays the store's changes to those of the failure domain that
 // follow this node, and tells starting nodes where to find a relay.
 //
-//     GET /relay/PART?epoch=E&known=R&wait_ms=M   all keys of the part, without the values up to
-//                                          revision R of epoch E; waits up to M ms until this node
-//                                          can answer
-//     GET /relay/PART?start=S&cursor=N&wait_ms=M   changes after N of the relay's start S; waits up
-//                                          to M ms for one
-//     GET /relay/members?domain=D&wait_ms=M   a referral to the members of a failure domain; waits
-//                                          up to M ms until they are known
+//     GET /relay/PART?epoch=E&known=R&wait_ms=M
+//         All keys of the part, without the values up to revision R of epoch E; waits up to M ms
+//         until this node can answer.
+//     GET /relay/PART?start=S&cursor=N&wait_ms=M
+//         Changes after number N of the relay's start S; waits up to M ms for one.
+//     GET /relay/members?domain=D&wait_ms=M
+//         A referral to the members of a failure domain; waits up to M ms until they are known.
 //
 // A caller that can relay itself adds its address as relay=ADDRESS. Responds with 200 and changes
 // encoded by relay_codec, or a referral; 410 if the cursor is unknown (the client must list
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -2,12 +2,14 @@
 //
 // The relay keeps the newest value of each key, and a tombstone for each removed key. It
 // numbers changes with a counter of its own, the cursor; a follower that has all changes up
-// to a cursor asks for the later ones. A value that a restored store still has is no change. Of
-// several changes to one key it gets only the
-// newest. A cursor of another relay or of another start, or one from before the oldest tombstone
-// that is still kept, has no answer: the follower must list again. A follower that comes from
-// another relay or from the store lists with the revision that it has, and gets the values of the
-// keys that changed since and only the names of the others.
+// to a cursor asks for the later ones. Of several changes to one key it gets only the newest.
+// A cursor of another relay or of another start, or one from before the oldest tombstone that
+// is still kept, has no answer: the follower must list again. A follower that comes from
+// another relay or from the store lists with the revision that it has, and gets the values of
+// the keys that changed since and only the names of the others.
+//
+// A value that a restored store still has is no change. Its key keeps the revision from before
+// the restore too, so that followers recognise what they have.
 //
 //     relay feed(incarnation);
 //     feed.put({.m_key = "a", .m_revision = {1, 7}, .m_value = "1"});
