Review case 3: an entry of another writer takes a back end out of use (CONFIG)

Of two registrations with one address the later start wins, even if its service is not in any configuration, so that the registered back end gets no request any more.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,76 +1,58 @@
-"""A machine is stopped by SIGTERM while requests queue for its back end.
+"""Another writer registers the address of a back end under a service that isn't named.
 
-One node with one back end of 64 slots. 576 clients send a request each at the same time, so that
-all slots are taken and the others queue. Then the node gets SIGTERM, as for a planned stop.
+Two nodes with a back end each, of two services. The first configuration has a route to the first
+service; the next one adds a route to the second. Then an entry of another writer appears in the
+store. It has the address of the second back end and a service that no configuration names.
 """
-import http.client
 import pathlib
-import signal
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 from backend import Backend  # noqa: E402
-from mesh import HOST, run_case, trouble_wanted  # noqa: E402
+from mesh import STABILITY_S, call, run_case, trouble_wanted  # noqa: E402
 
-SLOTS = 64
-CLIENTS = 9 * SLOTS
-WORK_S = 0.4
-ROUTE_MS = 6000
+REQUESTS = 40
+LEAST_REQUESTS = 20
+CONFIG_S = 2.0
 
 
 def case(mesh, record):
-    mesh.add_service("svc")
-    mesh.add_route("writes", "/write/", "unsafe", "svc", ROUTE_MS)
+    mesh.add_service("first")
+    mesh.add_service("second")
+    mesh.add_route("first-route", "/first/", "safe", "first", 1000)
     mesh.start_store()
-    node = mesh.start_node(1, "svc")
-    backend = Backend(node.app(), "i-1", record, work_s=WORK_S)
-    mesh.register("i-1", node.app(), "svc", slots=SLOTS)
+    one, two = mesh.start_node(1, "first"), mesh.start_node(2, "second")
+    backends = {"/first/": Backend(one.app(), "i-1", record),
+                "/second/": Backend(two.app(), "i-2", record)}
+    mesh.register("i-1", one.app(), "first")
+    mesh.register("i-2", two.app(), "second")
     mesh.wait_ready()
-    unanswered = []
-    statuses = {}
-
-    def client(identity, connection):
-        try:
-            connection.request("POST", "/write/1", b"w", {
-                "Host": HOST, "Pomelohead-Attempt-Id": identity,
-                "Pomelohead-Deadline-Ms": str(ROUTE_MS)})
-            answer = connection.getresponse()
-            answer.read()
-            record.line(f"client of {identity} gets {answer.status}")
-            statuses[answer.status] = statuses.get(answer.status, 0) + 1
-        except (OSError, http.client.HTTPException) as error:
-            record.line(f"client of {identity}: no answer, {error!r}")
-            unanswered.append(identity)
-
-    def connect():
-        connection = http.client.HTTPConnection(*node.outbound(), timeout=10)
-        connection.connect()
-        return connection
-
-    # The node learns how long requests take.
-    for number in range(5):
-        client(f"first-{number}", connect())
-    connections = [connect() for _ in range(CLIENTS)]
-    threads = [threading.Thread(target=client, args=(f"write-{i}", c))
-               for i, c in enumerate(connections)]
-    for thread in threads:
-        thread.start()
-    time.sleep(WORK_S / 2)
+    mesh.add_route("later-route", "/second/", "unsafe", "second", 1000)
+    mesh.put_configuration()
+    record.line("the operator adds the route /second/")
+    time.sleep(CONFIG_S + 1)
+    before, _, _ = call(one.outbound(), "POST", "/second/0", "before", b"w")
+    record.line(f"a request on /second/ gets {before}")
     if trouble_wanted():
-        record.line("SIGTERM")
-        node.process.send_signal(signal.SIGTERM)
-    for thread in threads:
-        thread.join()
-    ended = node.has_ended()
-    ran = {run.identity for run in backend.runs}
-    lost = [identity for identity in unanswered if identity in ran]
-    record.line(f"statuses {statuses}; {len(unanswered)} without an answer, {len(lost)} of them had "
-                f"been passed on; the node's process "
-                f"{'has ended, status ' + str(node.process.returncode) if ended else 'runs'}")
-    return bool(lost)
+        mesh.register("other-1", two.app(), "not-named-here")
+        record.line(f"another writer registers other-1 at {two.app()[0]}:{two.app()[1]}, service "
+                    f"not-named-here")
+    time.sleep(STABILITY_S + CONFIG_S)
+    served = {}
+    for prefix, method in (("/first/", "GET"), ("/second/", "POST")):
+        served[prefix] = 0
+        for number in range(REQUESTS):
+            node = mesh.nodes[number % 2 + 1]
+            identity = f"{prefix.strip('/')}-{number}"
+            status, _, _ = call(node.outbound(), method, prefix + "1", identity,
+                                b"w" if method == "POST" else b"")
+            served[prefix] += status == 200
+            record.line(f"{identity} at machine {node.number}: {status}")
+        record.line(f"{served[prefix]} of {REQUESTS} requests on {prefix} served, "
+                    f"{len(backends[prefix].runs)} runs at {backends[prefix].instance} in all")
+    return REQUESTS >= LEAST_REQUESTS and served["/second/"] < served["/first/"] / 4
 
 
 run_case(FOLDER, case)
--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -227,7 +227,7 @@
         self._registered = {}
         self._silent = set()
         self._resources = []
-        self._version = 7
+        self._version = 5
         self.memory_mb = 260
         self._lock = threading.Lock()
         self._closing = threading.Event()
@@ -265,11 +265,16 @@
 
     def start_store(self):
         self.store = Store((self.ip(250), self.ports["store"]))
+        self.put_configuration()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def put_configuration(self):
+        """The operator writes the next version, in full."""
+        before, self._version = self._version, self._version + 2
         self.store.put("op/config", {
-            "version": f"{self._version:08x}", "baseVersion": f"{self._version - 2:08x}",
+            "version": f"{self._version:08x}", "baseVersion": f"{before:08x}",
             "resources": self._resources + [
                 {"entryKind": "limits", "metadata": {}, "spec": self.limits}]})
-        threading.Thread(target=self._beat, daemon=True).start()
 
     def register(self, instance, address, service, slots=6):
         """Registers a back end and keeps reporting its status."""
