Review case 4: cut watches keep a back end that has left in use (DRAIN)

A cut of a waiting watch is taken for an outage of the store, and the grace after an outage delays removals beyond drainMs.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,11 +1,11 @@
-"""A machine is stopped by SIGTERM while requests queue for its back end.
+"""Two waiting watches are cut while a back end leaves that never reports draining.
 
-One node with one back end of 64 slots. 576 clients send a request each at the same time, so that
-all slots are taken and the others queue. Then the node gets SIGTERM, as for a planned stop.
+Two nodes with a back end each, of one service. The store is up and answers every call; it cuts one
+watch that waits, and another one a second later. In between the entry of the first back end is
+removed. That back end goes on serving for drainMs and a second, as those do that never report
+draining, and then exits.
 """
-import http.client
 import pathlib
-import signal
 import sys
 import threading
 import time
@@ -13,64 +13,75 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 from backend import Backend  # noqa: E402
-from mesh import HOST, run_case, trouble_wanted  # noqa: E402
+from mesh import call, run_case, trouble_wanted  # noqa: E402
 
-SLOTS = 64
-CLIENTS = 9 * SLOTS
-WORK_S = 0.4
-ROUTE_MS = 6000
+DRAIN_S = 2.0
+EXITS_AFTER_S = 3.0
+PLAYS_ON_S = 6.0
+WORK_S = 0.1
+CLIENTS = 8
 
 
 def case(mesh, record):
     mesh.add_service("svc")
-    mesh.add_route("writes", "/write/", "unsafe", "svc", ROUTE_MS)
+    mesh.add_route("writes", "/write/", "unsafe", "svc", 1000)
     mesh.start_store()
-    node = mesh.start_node(1, "svc")
-    backend = Backend(node.app(), "i-1", record, work_s=WORK_S)
-    mesh.register("i-1", node.app(), "svc", slots=SLOTS)
+    reached, failed = [], []
+    backends = {}
+
+    def note(backend, connection, request):
+        if backend.instance == "i-1":
+            reached.append((time.monotonic(), request.identity))
+        return False
+
+    for number in (1, 2):
+        node = mesh.start_node(number, "svc")
+        backends[number] = Backend(node.app(), f"i-{number}", record, work_s=WORK_S,
+                                   on_request=note)
+        mesh.register(f"i-{number}", node.app(), "svc")
     mesh.wait_ready()
-    unanswered = []
-    statuses = {}
+    stopped = threading.Event()
 
-    def client(identity, connection):
-        try:
-            connection.request("POST", "/write/1", b"w", {
-                "Host": HOST, "Pomelohead-Attempt-Id": identity,
-                "Pomelohead-Deadline-Ms": str(ROUTE_MS)})
-            answer = connection.getresponse()
-            answer.read()
-            record.line(f"client of {identity} gets {answer.status}")
-            statuses[answer.status] = statuses.get(answer.status, 0) + 1
-        except (OSError, http.client.HTTPException) as error:
-            record.line(f"client of {identity}: no answer, {error!r}")
-            unanswered.append(identity)
+    def client(number):
+        turn = 0
+        while not stopped.wait(0.02):
+            turn += 1
+            identity = f"write-{number}-{turn}"
+            status, _, _ = call(mesh.nodes[number % 2 + 1].outbound(), "POST", "/write/1",
+                                identity, b"w")
+            record.line(f"client of {identity} gets {status}")
+            if status != 200:
+                failed.append(identity)
 
-    def connect():
-        connection = http.client.HTTPConnection(*node.outbound(), timeout=10)
-        connection.connect()
-        return connection
+    def cut():
+        if trouble_wanted():
+            mesh.store.cut_watch()
+            record.line("the store has cut a watch that waited")
 
-    # The node learns how long requests take.
-    for number in range(5):
-        client(f"first-{number}", connect())
-    connections = [connect() for _ in range(CLIENTS)]
-    threads = [threading.Thread(target=client, args=(f"write-{i}", c))
-               for i, c in enumerate(connections)]
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(CLIENTS)]
     for thread in threads:
         thread.start()
-    time.sleep(WORK_S / 2)
-    if trouble_wanted():
-        record.line("SIGTERM")
-        node.process.send_signal(signal.SIGTERM)
+    time.sleep(1)
+    cut()
+    time.sleep(0.3)
+    mesh.deregister("i-1")
+    acknowledged = time.monotonic()
+    record.line("the entry of i-1 is removed")
+    time.sleep(0.7)
+    cut()
+    time.sleep(max(0, acknowledged + EXITS_AFTER_S - time.monotonic()))
+    record.line("i-1 exits")
+    backends[1].exit()
+    time.sleep(max(0, acknowledged + PLAYS_ON_S - time.monotonic()))
+    stopped.set()
     for thread in threads:
         thread.join()
-    ended = node.has_ended()
-    ran = {run.identity for run in backend.runs}
-    lost = [identity for identity in unanswered if identity in ran]
-    record.line(f"statuses {statuses}; {len(unanswered)} without an answer, {len(lost)} of them had "
-                f"been passed on; the node's process "
-                f"{'has ended, status ' + str(node.process.returncode) if ended else 'runs'}")
-    return bool(lost)
+    late = [at - acknowledged for at, _ in reached if at > acknowledged + DRAIN_S]
+    lost = [identity for _, identity in reached if identity in failed]
+    record.line(f"{len(reached)} requests reached i-1, {len(late)} of them later than "
+                f"{DRAIN_S} s after the removal, the last after {max(late, default=0):.2f} s; "
+                f"{len(lost)} were lost when it exited")
+    return bool(late)
 
 
 run_case(FOLDER, case)
--- a/review/standin/backend.py
+++ b/review/standin/backend.py
@@ -91,6 +91,8 @@
         self.on_request = on_request
         self.runs = []
         self._lock = threading.Lock()
+        self._connections = set()
+        self._exited = False
         self._socket = socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if buffer_bytes:
@@ -99,15 +101,28 @@
         self._socket.listen(128)
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def close(self):
+    def exit(self):
+        """Ends as a process does: the listener and all connections are closed."""
+        self._exited = True
+        # A connection wakes accept(), which a close alone would leave waiting.
+        with socket.socket() as wake:
+            wake.connect(self._socket.getsockname())
         self._socket.close()
+        with self._lock:
+            for sock in self._connections:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
 
     def _accept(self):
         while True:
-            try:
-                sock, _ = self._socket.accept()
-            except OSError:
+            sock, _ = self._socket.accept()
+            if self._exited:
+                sock.close()
                 return
+            with self._lock:
+                self._connections.add(sock)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
@@ -125,6 +140,8 @@
         except (ConnectionError, OSError, ValueError):
             pass
         finally:
+            with self._lock:
+                self._connections.discard(sock)
             sock.close()
 
     def _serve_one(self, connection):
--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -55,12 +55,15 @@
     """The platform's store: one revision counter, paged lists and watches."""
 
     PAGE = 50
+    CUT_AFTER_S = 0.1
 
     def __init__(self, address):
         self._items = {}
         self._history = []
         self._revision = 100
         self._changed = threading.Condition()
+        self._cut_wanted = False
+        self._cut_done = threading.Event()
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -72,6 +75,9 @@
 
             def do_GET(self):
                 status, body = store.answer(self.path)
+                if status is None:
+                    self.close_connection = True  # a waiting watch is cut
+                    return
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
                 self.send_header("Content-Length", str(len(body)))
@@ -103,13 +109,24 @@
             self._history.append({"key": key, "rev": self._revision, "tombstone": True})
             self._changed.notify_all()
 
+    def cut_watch(self):
+        """Cuts the next watch of registrations that has waited for CUT_AFTER_S, and returns then.
+
+        Its connection is closed. All other calls are answered.
+        """
+        self._cut_done.clear()
+        self._cut_wanted = True
+        if not self._cut_done.wait(READY_LIMIT_S):
+            raise CannotRun("no watch has waited")
+
     def answer(self, path):
         url = urlparse(path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/pomelohead/kv-range":
             return 200, json.dumps(self._range(query)).encode()
         if url.path == "/pomelohead/kv-watch":
-            return 200, json.dumps(self._watch(query)).encode()
+            found = self._watch(query)
+            return (None, b"") if found is None else (200, json.dumps(found).encode())
         if url.path == "/pomelohead/kv-key":
             with self._changed:
                 item = self._items.get(query.get("key", ""))
@@ -132,12 +149,18 @@
             return [e for e in self._history
                     if e["rev"] > after and e["key"].startswith(query.get("prefix", ""))]
 
+        begin = time.monotonic()
         with self._changed:
             while not events():
+                if (self._cut_wanted and query.get("prefix") == "servers/" and
+                        time.monotonic() - begin >= self.CUT_AFTER_S):
+                    self._cut_wanted = False
+                    self._cut_done.set()
+                    return None
                 left = end - time.monotonic()
                 if left <= 0:
                     break
-                self._changed.wait(left)
+                self._changed.wait(min(left, 0.02))
             return {"events": events(), "storeRevision": self._revision}
 
 
