--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,7 @@
 
 CLIENTS = 12
 LOST_ALLOWED = 3
-MEMORY_MB = 260
+MEMORY_MB = 110
 RESTART_S = 1.0
 BLOCK = b"x" * (1 << 20)
 
