--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -132,6 +132,12 @@
                    {"ignored", list.m_ignored},
                    {"relayed", list.m_relayed}});
     };
+    hooks.m_on_removal_deferred = [&part](const std::string& key, duration grace_left) {
+        log_event(log_level::info, "removal_deferred",
+                  {{"part", part.m_name},
+                   {"key", key},
+                   {"ms", std::chrono::duration_cast<milliseconds>(grace_left).count()}});
+    };
     hooks.m_on_contact_regained = [&part] {
         log_event(log_level::info, "store_reached", {{"part", part.m_name}});
     };
--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -140,24 +140,55 @@
     m_on_snapshot(m_current);
 }
 
+bool snapshot_builder::has_service(const std::string& name) const
+{
+    return std::ranges::binary_search(m_configuration->m_services, name, {},
+                                      &config::service::m_name);
+}
+
 // Two targets cannot run at one address, but the registration of an ended target may outlive it.
 // Of two registrations with unknown start times neither supersedes the other.
-std::vector<const instance*> snapshot_builder::current_instances() const
+std::vector<const instance*> snapshot_builder::select_instances()
 {
     std::map<std::pair<std::string_view, std::uint16_t>, std::int64_t> latest_start;
     for (const auto& [key, item] : m_instances) {
         std::int64_t& start = latest_start[{item.m_host, item.m_port}];
         start = std::max(start, item.m_started_ms);
     }
-    std::vector<const instance*> current;
+    std::vector<const instance*> selected;
+    std::map<std::string, std::string_view> omitted;
     for (const auto& [key, item] : m_instances) {
         const bool is_superseded =
             item.m_started_ms > 0 && item.m_started_ms < latest_start[{item.m_host, item.m_port}];
-        if (!is_superseded) {
-            current.push_back(&item);
+        if (!has_service(item.m_service)) {
+            omitted[key] = "the configuration does not name its service";
+        }
+        else if (is_superseded) {
+            omitted[key] = "a later start at its address is registered";
+        }
+        else {
+            selected.push_back(&item);
         }
     }
-    return current;
+    log_omissions(std::move(omitted));
+    return selected;
+}
+
+void snapshot_builder::log_omissions(std::map<std::string, std::string_view> omitted)
+{
+    for (const auto& [key, why] : omitted) {
+        const auto known = m_omitted.find(key);
+        if (known == m_omitted.end() || known->second != why) {
+            const instance& item = m_instances.at(key);
+            log_event(log_level::info, "target_omitted",
+                      {{"target", item.m_id},
+                       {"service", item.m_service},
+                       {"host", item.m_host},
+                       {"port", item.m_port},
+                       {"why", why}});
+        }
+    }
+    m_omitted = std::move(omitted);
 }
 
 std::vector<std::string> snapshot_builder::hosts_of(const std::string& failure_domain) const
@@ -172,16 +203,13 @@
     return hosts;
 }
 
-config::snapshot snapshot_builder::build_snapshot() const
+config::snapshot snapshot_builder::build_snapshot()
 {
     config::snapshot snapshot = *m_configuration;
-    for (const instance* registered : current_instances()) {
+    for (const instance* registered : select_instances()) {
         const instance& item = *registered;
         const auto service_it = std::ranges::lower_bound(snapshot.m_services, item.m_service, {},
                                                          &config::service::m_name);
-        if (service_it == snapshot.m_services.end() || service_it->m_name != item.m_service) {
-            continue;
-        }
         config::target target;
         target.m_name = item.m_id;
         target.m_service = item.m_service;
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -28,6 +28,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -74,15 +75,18 @@
     [[nodiscard]] bool supersedes(config::version_number version, std::uint64_t epoch) const;
     bool apply_instance(const source::key_change& change, instance received);
     void reject(const std::string& key, reason why);
-    /// The registrations but for those of ended targets whose address another one has taken over.
-    [[nodiscard]] std::vector<const instance*> current_instances() const;
-    [[nodiscard]] config::snapshot build_snapshot() const;
+    [[nodiscard]] bool has_service(const std::string& name) const;
+    /// Returns the registrations that the snapshot is made from, and logs which others there are.
+    [[nodiscard]] std::vector<const instance*> select_instances();
+    void log_omissions(std::map<std::string, std::string_view> omitted);
+    [[nodiscard]] config::snapshot build_snapshot();
 
     decode_fn m_decode;
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
-    std::optional<config::snapshot> m_configuration; // without targets
-    std::uint64_t m_configuration_epoch = 0;         // the latest in which it was read
-    std::map<std::string, instance> m_instances;     // by key
+    std::optional<config::snapshot> m_configuration;   // without targets
+    std::uint64_t m_configuration_epoch = 0;           // the latest in which it was read
+    std::map<std::string, instance> m_instances;       // by key
+    std::map<std::string, std::string_view> m_omitted; // by key: why the snapshot lacks it
     removed_instances m_removed;
     config::snapshot_ptr m_current;
     reason m_last_refusal;
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -440,6 +440,7 @@
                  {"outcome", outcome_text},
                  {"reason", outcome::to_string(conclusion.m_cause)},
                  {"detail", m_detail},
+                 {"buffered_body_bytes", m_body.bytes().size()},
                  {"status", status},
                  {"ms", std::chrono::duration<double, std::milli>(took).count()}});
 }
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -3,6 +3,7 @@
 #include "pomelohead/forwarding/http_message.h"
 
 #include "pomelohead/runtime/fiber.h"
+#include "pomelohead/telemetry/log.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -275,6 +276,10 @@
     piece.resize(space - body.size);
     body.data = nullptr;
     body.size = 0;
+    if (!m_growth_logged && m_buffer.size() > max_piece_bytes) {
+        m_growth_logged = true;
+        log_event(log_level::warning, "read_buffer_grew", {{"bytes", m_buffer.size()}});
+    }
     if (error && error != http::error::need_buffer) {
         why = to_reason(error);
         return body_state::failed;
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -86,6 +86,7 @@
     boost::beast::tcp_stream& m_stream;
     boost::beast::flat_buffer& m_buffer;
     bool m_unframed_accepted = false;
+    bool m_growth_logged = false;
     std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
 };
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -771,6 +771,7 @@
                  {"outcome", outcome::to_string(conclusion.m_outcome)},
                  {"reason", outcome::to_string(conclusion.m_cause)},
                  {"detail", m_detail},
+                 {"buffered_body_bytes", m_body.bytes().size()},
                  {"free_slots", load.m_free},
                  {"queued", load.m_queued},
                  {"left_ms", -ms(m_deadline)},
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -239,7 +239,10 @@
         return;
     }
     if (is_in_removal_grace()) {
-        it->second.m_removal_pending = true;
+        if (!std::exchange(it->second.m_removal_pending, true)) {
+            m_hooks.m_on_removal_deferred(key, m_options.m_removal_grace -
+                                                   (m_timers.now() - *m_grace_started_at));
+        }
         return;
     }
     m_keys.erase(it);
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -69,6 +69,9 @@
     std::function<void(const store_revision& known, const store_revision& answered)> m_on_restored =
         [](const store_revision&, const store_revision&) {};
     std::function<void(const list_summary&)> m_on_listed = [](const list_summary&) {};
+    /// A missing key is kept for `grace_left`, as its writer may write it again.
+    std::function<void(const std::string& key, duration grace_left)> m_on_removal_deferred =
+        [](const std::string&, duration) {};
 };
 
 /// State of the contact with the store.
