A body whose length the Connection header names is not run as a request

Cause: remove_hop_by_hop_headers() erases what a Connection header names, the length too, while message_writer writes the body by the framing of the parsed request. The owner finds a head without a length and takes the body for the next head.

Change: the writer alone writes the fields that frame a body, from the framing that it writes by, and fails rather than write more or less than they say; so no edit of a head can separate the two. A Connection header cannot name fields that every recipient needs, so that a client cannot take Host from a request, nor a target its seal from an answer.

--- a/pomelohead/forwarding/crash_mark_replicator.cc
+++ b/pomelohead/forwarding/crash_mark_replicator.cc
@@ -90,11 +90,10 @@
     http::header<true> head;
     head.method(http::verb::post);
     head.target(crash_marks_path);
-    head.set(http::field::content_length, std::to_string(body.size()));
     head.set(http::field::connection, "close");
     message_writer writer(connection->m_stream);
     response_reader reader(connection->m_stream, connection->m_buffer);
-    if (writer.write_head(head, body_framing::length, body, deadline, why)) {
+    if (writer.write_head(head, message_framing::of_length(body.size()), body, deadline, why)) {
         reader.read_head({.m_first_byte = deadline}, why);
     }
 }
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -83,14 +83,13 @@
     if (m_request.m_is_suspect()) {
         head.set(apart_header, "true");
     }
-    body_framing framing = m_request.m_exchange.request().framing();
+    message_framing framing = m_request.m_exchange.request().framing();
     if (uses_expect_continue()) {
         head.set(http::field::expect, "100-continue");
         head.set(body_digest_header, body_digest(m_request.m_body.bytes()));
     }
-    if (!m_request.m_streamed && framing == body_framing::chunked) {
-        framing = body_framing::length;
-        head.set(http::field::content_length, std::to_string(m_request.m_body.bytes().size()));
+    if (!m_request.m_streamed && framing.is_chunked()) {
+        framing = message_framing::of_length(m_request.m_body.bytes().size());
     }
     message_writer writer(m_connection->m_stream);
     reason why;
@@ -267,11 +266,10 @@
     head.method(http::verb::post);
     head.target("/.pomelohead/ticket");
     head.set(target_header, target.m_name);
-    head.set(http::field::content_length, "0");
     head.set(http::field::connection, "close");
     message_writer writer(connection->m_stream);
     response_reader reader(connection->m_stream, connection->m_buffer);
-    if (!writer.write_head(head, body_framing::none, {}, deadline, why) ||
+    if (!writer.write_head(head, message_framing::of_length(0), {}, deadline, why) ||
         !reader.read_head({.m_first_byte = deadline}, why) || reader.head().result_int() != 200) {
         return std::nullopt;
     }
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -332,7 +332,6 @@
     http::header<false> head = attempt.head();
     remove_hop_by_hop_headers(head);
     remove_protocol_headers(head);
-    head.erase(http::field::content_length);
     m_service.m_options.m_dialect.m_write_complete_headers(head, m_request_id);
     const unsigned status = head.result_int();
     process_event({.m_kind = entry_event_kind::before_answer_write});
--- a/pomelohead/forwarding/forwarding_test.cc
+++ b/pomelohead/forwarding/forwarding_test.cc
@@ -84,7 +84,7 @@
             return;
         case target_behavior::omit_length:
             head.set(http::field::connection, "close");
-            message_writer(e.stream()).write_head(head, body_framing::none, "abc", limit, why);
+            message_writer(e.stream()).write_head(head, message_framing::none(), "abc", limit, why);
             break;
         case target_behavior::decline:
             head.result(503);
@@ -104,8 +104,8 @@
                 http::header<false> again;
                 again.result(503);
                 again.set(not_run_header, "true");
-                again.set(http::field::content_length, "0");
-                message_writer(e.stream()).write_head(again, body_framing::none, {}, limit, why);
+                message_writer(e.stream())
+                    .write_head(again, message_framing::of_length(0), {}, limit, why);
             }
             e.respond(head, std::to_string(total), limit, why);
             return;
@@ -256,12 +256,12 @@
         http::header<true> head;
         head.method(method);
         head.target(path);
-        head.set(http::field::content_length, std::to_string(body_bytes));
         if (!ticket.empty()) {
             head.set(ticket_header, ticket);
         }
         message_writer writer(c->m_stream);
-        writer.write_head(head, body_framing::length, std::string(body_bytes, 'b'), limit, why);
+        writer.write_head(head, message_framing::of_length(body_bytes),
+                          std::string(body_bytes, 'b'), limit, why);
         return read_response(*c, limit);
     }
 
@@ -482,9 +482,8 @@
         http::header<true> head;
         head.method(http::verb::post);
         head.target("/post");
-        head.set(http::field::content_length, "0");
         message_writer(c->m_stream)
-            .write_head(head, body_framing::none, {}, clock_type::now() + 5s, why);
+            .write_head(head, message_framing::of_length(0), {}, clock_type::now() + 5s, why);
         while (m.total_runs() == 0) {
             sleep_for(1ms);
         }
@@ -577,16 +576,17 @@
             const char* m_path;
             const char* m_header;
             const char* m_value;
+            std::uint64_t m_body_bytes;
             unsigned m_status;
         };
         const bound_case cases[] = {
-            {"/nowhere", "X-Any", "1", 404},
-            {"/post", "Pomelohead-Deadline-Ms", "soon", 400},
-            {"/post", "Pomelohead-Deadline-Ms", "0", 400},
-            {"/post", "Pomelohead-Depth", "-1", 400},
-            {"/post", "Pomelohead-Ticket", "1/nonsense", 400},
-            {"/post", "Pomelohead-Request-Id", "two words", 400},
-            {"/post", "Content-Length", "9000000000", 413},
+            {"/nowhere", "X-Any", "1", 0, 404},
+            {"/post", "Pomelohead-Deadline-Ms", "soon", 0, 400},
+            {"/post", "Pomelohead-Deadline-Ms", "0", 0, 400},
+            {"/post", "Pomelohead-Depth", "-1", 0, 400},
+            {"/post", "Pomelohead-Ticket", "1/nonsense", 0, 400},
+            {"/post", "Pomelohead-Request-Id", "two words", 0, 400},
+            {"/post", "X-Any", "1", 9'000'000'000, 413},
         };
         for (const bound_case& c : cases) {
             BOOST_TEST_CONTEXT(c.m_header << ": " << c.m_value)
@@ -599,7 +599,7 @@
                 head.target(c.m_path);
                 head.set(c.m_header, c.m_value);
                 message_writer(connection->m_stream)
-                    .write_head(head, body_framing::none, {}, limit, why);
+                    .write_head(head, message_framing::of_length(c.m_body_bytes), {}, limit, why);
                 response_reader reader(connection->m_stream, connection->m_buffer);
                 BOOST_REQUIRE_MESSAGE(reader.read_head({.m_first_byte = limit}, why), why.m_text);
                 BOOST_TEST(reader.head().result_int() == c.m_status);
--- a/pomelohead/forwarding/http_get.cc
+++ b/pomelohead/forwarding/http_get.cc
@@ -39,7 +39,7 @@
     response_reader reader(connection->m_stream, connection->m_buffer);
     full_response response;
     const bool succeeded =
-        writer.write_head(head, body_framing::none, {}, limits.m_deadline, why) &&
+        writer.write_head(head, message_framing::none(), {}, limits.m_deadline, why) &&
         reader.read_head({.m_first_byte = limits.m_deadline}, why) &&
         read_full_body(reader, limits, response.m_body, why);
     in_flight.erase(position);
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -232,12 +232,13 @@
 }
 
 template <bool IsRequest>
-body_framing message_reader<IsRequest>::framing() const
+message_framing message_reader<IsRequest>::framing() const
 {
     if (m_parser->chunked()) {
-        return body_framing::chunked;
+        return message_framing::chunked();
     }
-    return m_parser->content_length().value_or(0) > 0 ? body_framing::length : body_framing::none;
+    const auto length = content_length();
+    return length ? message_framing::of_length(*length) : message_framing::none();
 }
 
 template <bool IsRequest>
@@ -315,22 +316,57 @@
 
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
+bool is_framing_field(http::field name)
+{
+    return name == http::field::content_length || name == http::field::transfer_encoding;
+}
+
+// Fields that every recipient of a message needs. RFC 9110, section 7.6.1, forbids a sender to list
+// such fields in Connection.
+bool is_end_to_end_field(std::string_view name)
+{
+    constexpr std::array prefixes = {std::string_view("Content-"), std::string_view("Pomelohead-")};
+    constexpr std::array names = {std::string_view("Host"),       std::string_view("Authorization"),
+                                  std::string_view("Cookie"),     std::string_view("Set-Cookie"),
+                                  std::string_view("Location"),   std::string_view("Cache-Control"),
+                                  std::string_view("Retry-After")};
+    const auto is_name = [name](std::string_view known) {
+        return equals_ignoring_case(name, known);
+    };
+    const auto is_prefix = [name](std::string_view known) {
+        return equals_ignoring_case(name.substr(0, known.size()), known);
+    };
+    return std::ranges::any_of(names, is_name) || std::ranges::any_of(prefixes, is_prefix);
+}
+
 } // namespace
 
 template <bool IsRequest>
-bool message_writer::write_head(const http::header<IsRequest>& head, body_framing framing,
+bool message_writer::write_head(const http::header<IsRequest>& head, const message_framing& framing,
                                 std::string_view first_piece, time_point deadline, reason& why)
 {
+    if (IsRequest && framing == message_framing::none() && !first_piece.empty()) {
+        return fail(why, reason_code::conflict, "a request whose head states no body has one");
+    }
     m_framing = framing;
+    m_remaining = framing.length().value_or(0);
+    if (!account_for(first_piece, why)) {
+        return false;
+    }
     std::string text = start_line(head);
     for (const auto& field : head) {
-        text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
+        if (!is_framing_field(field.name())) {
+            text.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
+        }
     }
-    if (framing == body_framing::chunked) {
+    if (framing.is_chunked()) {
         text += "Transfer-Encoding: chunked\r\n";
     }
+    else if (const auto length = framing.length()) {
+        text += "Content-Length: " + std::to_string(*length) + "\r\n";
+    }
     text += "\r\n";
-    if (framing == body_framing::chunked && !first_piece.empty()) {
+    if (framing.is_chunked() && !first_piece.empty()) {
         text += chunk_prefix(first_piece.size());
         text.append(first_piece).append("\r\n");
         return write(text, {}, deadline, why);
@@ -338,17 +374,32 @@
     return write(text, first_piece, deadline, why);
 }
 
-template bool message_writer::write_head<true>(const http::header<true>&, body_framing,
+template bool message_writer::write_head<true>(const http::header<true>&, const message_framing&,
                                                std::string_view, time_point, reason&);
-template bool message_writer::write_head<false>(const http::header<false>&, body_framing,
+template bool message_writer::write_head<false>(const http::header<false>&, const message_framing&,
                                                 std::string_view, time_point, reason&);
 
+bool message_writer::account_for(std::string_view piece, reason& why)
+{
+    if (!m_framing.length()) {
+        return true;
+    }
+    if (piece.size() > m_remaining) {
+        return fail(why, reason_code::conflict, "the body is longer than its head says");
+    }
+    m_remaining -= piece.size();
+    return true;
+}
+
 bool message_writer::write_body(std::string_view piece, time_point deadline, reason& why)
 {
     if (piece.empty()) {
         return true;
     }
-    if (m_framing != body_framing::chunked) {
+    if (!account_for(piece, why)) {
+        return false;
+    }
+    if (!m_framing.is_chunked()) {
         return write(piece, {}, deadline, why);
     }
     std::string framed = chunk_prefix(piece.size());
@@ -358,7 +409,10 @@
 
 bool message_writer::finish(time_point deadline, reason& why)
 {
-    return m_framing != body_framing::chunked || write(last_chunk, {}, deadline, why);
+    if (m_remaining > 0) {
+        return fail(why, reason_code::conflict, "the body is shorter than its head says");
+    }
+    return !m_framing.is_chunked() || write(last_chunk, {}, deadline, why);
 }
 
 bool message_writer::write(std::string_view first, std::string_view second, time_point deadline,
@@ -379,13 +433,16 @@
 void remove_hop_by_hop_headers(http::fields& fields)
 {
     const std::string connection(fields[http::field::connection]);
-    for (const auto& token : http::token_list(connection)) {
-        fields.erase(std::string_view(token));
+    for (const auto& option : http::token_list(connection)) {
+        const std::string_view name(option);
+        if (!is_end_to_end_field(name)) {
+            fields.erase(name);
+        }
     }
     for (const http::field name :
          {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
-          http::field::transfer_encoding, http::field::te, http::field::trailer,
-          http::field::upgrade, http::field::expect}) {
+          http::field::content_length, http::field::transfer_encoding, http::field::te,
+          http::field::trailer, http::field::upgrade, http::field::expect}) {
         fields.erase(name);
     }
 }
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -42,8 +42,34 @@
     duration m_rest = std::chrono::seconds(10);  ///< for the rest of the head after it
 };
 
-/// How the end of a message's body is marked.
-enum class body_framing { none, length, chunked };
+/// How a message marks the end of its body, with the length that it states.
+class message_framing {
+public:
+    enum class kind { none, length, chunked };
+
+    /// A request without a body, or a response that ends with its connection.
+    [[nodiscard]] static constexpr message_framing none() { return {kind::none, 0}; }
+    [[nodiscard]] static constexpr message_framing of_length(std::uint64_t bytes)
+    {
+        return {kind::length, bytes};
+    }
+    [[nodiscard]] static constexpr message_framing chunked() { return {kind::chunked, 0}; }
+
+    [[nodiscard]] constexpr bool is_chunked() const { return m_kind == kind::chunked; }
+    /// The length of the body; nothing if the head does not state it.
+    [[nodiscard]] constexpr std::optional<std::uint64_t> length() const
+    {
+        return m_kind == kind::length ? std::optional(m_length) : std::nullopt;
+    }
+
+    bool operator==(const message_framing&) const = default;
+
+private:
+    constexpr message_framing(kind how, std::uint64_t length) : m_kind(how), m_length(length) {}
+
+    kind m_kind;
+    std::uint64_t m_length;
+};
 
 /// The result of read_body().
 enum class body_state { more, end, failed };
@@ -69,7 +95,7 @@
     /// Whether a head has been read; the functions below require it.
     [[nodiscard]] bool has_head() const { return m_parser.has_value(); }
     [[nodiscard]] const http::header<IsRequest>& head() const { return m_parser->get().base(); }
-    [[nodiscard]] body_framing framing() const;
+    [[nodiscard]] message_framing framing() const;
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
     [[nodiscard]] bool keep_alive() const { return m_parser->keep_alive(); }
     [[nodiscard]] bool done() const { return m_parser->is_done(); }
@@ -96,14 +122,16 @@
 extern template class message_reader<true>;
 extern template class message_reader<false>;
 
-/// Writes one message.
+/// Writes one message. The writer alone writes the fields that frame the body; those of the given
+/// head are ignored, as they may be of another message. It fails with conflict rather than write a
+/// body that is longer or shorter than the head says.
 class message_writer {
 public:
     explicit message_writer(boost::beast::tcp_stream& stream) : m_stream(stream) {}
 
     /// Writes a head followed by the first bytes of the body.
     template <bool IsRequest>
-    bool write_head(const http::header<IsRequest>& head, body_framing framing,
+    bool write_head(const http::header<IsRequest>& head, const message_framing& framing,
                     std::string_view first_piece, time_point deadline, reason& why);
 
     /// Writes the next bytes of the body.
@@ -116,15 +144,17 @@
     [[nodiscard]] bool started() const { return m_started; }
 
 private:
+    bool account_for(std::string_view piece, reason& why);
     bool write(std::string_view first, std::string_view second, time_point deadline, reason& why);
 
     boost::beast::tcp_stream& m_stream;
-    body_framing m_framing = body_framing::none;
+    message_framing m_framing = message_framing::none();
+    std::uint64_t m_remaining = 0; ///< of a body whose head states its length
     bool m_started = false;
 };
 
 /// Removes the headers that concern a single connection only (RFC 9110, section 7.6.1) and the
-/// framing of the body.
+/// framing of the body. A Connection header cannot name fields that every recipient needs.
 void remove_hop_by_hop_headers(http::fields& fields);
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -136,12 +136,11 @@
     add_connection_header(head);
     const bool no_body = m_request.head().method() == http::verb::head ||
                          head.result_int() == 204 || head.result_int() == 304;
-    if (!no_body || !body.empty()) {
-        head.set(http::field::content_length, std::to_string(body.size()));
-    }
+    const message_framing framing =
+        no_body && body.empty() ? message_framing::none() : message_framing::of_length(body.size());
     m_writer.emplace(m_stream);
-    const bool succeeded = m_writer->write_head(head, body_framing::length,
-                                                no_body ? std::string_view{} : body, deadline, why);
+    const bool succeeded =
+        m_writer->write_head(head, framing, no_body ? std::string_view{} : body, deadline, why);
     m_must_close = m_must_close || !succeeded;
     return succeeded;
 }
@@ -153,11 +152,9 @@
         return false;
     }
     add_connection_header(head);
-    if (length) {
-        head.set(http::field::content_length, std::to_string(*length));
-    }
     m_writer.emplace(m_stream);
-    const body_framing framing = length ? body_framing::length : body_framing::chunked;
+    const message_framing framing =
+        length ? message_framing::of_length(*length) : message_framing::chunked();
     const bool succeeded = m_writer->write_head(head, framing, first_piece, deadline, why);
     m_must_close = m_must_close || !succeeded;
     return succeeded;
@@ -185,7 +182,7 @@
     http::header<false> interim;
     interim.result(100);
     message_writer writer(m_stream);
-    const bool succeeded = writer.write_head(interim, body_framing::none, {}, deadline, why);
+    const bool succeeded = writer.write_head(interim, message_framing::none(), {}, deadline, why);
     m_must_close = m_must_close || !succeeded;
     return succeeded;
 }
@@ -405,11 +402,10 @@
     head.set("Pomelohead-Outcome", "not-run");
     head.set("Pomelohead-Reason", why.m_text);
     head.set(http::field::connection, "close");
-    head.set(http::field::content_length, "0");
     message_writer writer(c.m_stream);
     reason ignored;
-    writer.write_head(head, body_framing::length, {}, clock_type::now() + response_write_timeout,
-                      ignored);
+    writer.write_head(head, message_framing::of_length(0), {},
+                      clock_type::now() + response_write_timeout, ignored);
 }
 
 void http_server::set_limits(duration idle, std::size_t max_head_bytes, duration head_time)
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -443,7 +443,7 @@
     m_handed_over = m_service.m_timers.now();
     message_writer writer(m_connection->m_stream);
     reason why;
-    const body_framing framing = m_exchange.request().framing();
+    const message_framing framing = m_exchange.request().framing();
     const bool is_large = m_body.is_complete() && m_body.bytes().size() > max_inline_body_bytes;
     const std::string_view first = is_large ? std::string_view{} : m_body.bytes();
     const bool written = writer.write_head(head, framing, first, m_deadline, why);
@@ -651,7 +651,6 @@
     http::header<false> response_headers = head;
     remove_hop_by_hop_headers(response_headers);
     remove_protocol_headers(response_headers);
-    response_headers.erase(http::field::content_length);
     for (const auto& field : response_headers) {
         response.m_headers.push_back(
             {to_std_string(field.name_string()), to_std_string(field.value())});
@@ -669,7 +668,6 @@
     http::header<false> head = target_head;
     remove_hop_by_hop_headers(head);
     remove_protocol_headers(head);
-    head.erase(http::field::content_length);
     add_protocol_headers(head);
     head.set(outcome_header, "complete");
     process_event({.m_kind = owner_event_kind::before_answer_write});
