Trailers of a body do not become fields of the head

A client's chunked body with trailers reached the target with those trailers as fields of its head, a second Host among them, and a target's trailers reached the client so. A Connection trailer erased fields of the head.

Cause: Beast's parser adds trailers to the message's fields, and an entry forwards the head after it has read the body, though it has checked the head before.

Change: the head of a chunked message is kept as it was read; trailers are discarded (RFC 9110, section 6.5.1). Messages with a length cannot have trailers and are not copied.

--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -222,6 +222,10 @@
         return fail(why, reason_code::malformed, error ? error.message() : "bad head");
     }
     m_buffer.consume(used);
+    m_head.reset();
+    if (m_parser->chunked()) {
+        m_head.emplace(m_parser->get().base());
+    }
     return true;
 }
 
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -4,6 +4,7 @@
 // Neither holds a complete body, so uploads of any size pass in bounded memory. Both reject
 // ambiguous messages: with both length headers, repeated lengths or folded lines. Responses that
 // are delimited by the end of the connection are rejected unless accept_unframed() was called.
+// Trailers are discarded.
 //
 //     request_reader reader(stream, buffer);
 //     reason why;
@@ -94,7 +95,10 @@
 
     /// Whether a head has been read; the functions below require it.
     [[nodiscard]] bool has_head() const { return m_parser.has_value(); }
-    [[nodiscard]] const http::header<IsRequest>& head() const { return m_parser->get().base(); }
+    [[nodiscard]] const http::header<IsRequest>& head() const
+    {
+        return m_head ? *m_head : m_parser->get().base();
+    }
     [[nodiscard]] message_framing framing() const;
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
     [[nodiscard]] bool keep_alive() const { return m_parser->keep_alive(); }
@@ -114,6 +118,8 @@
     bool m_unframed_accepted = false;
     bool m_growth_logged = false;
     std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
+    /// Of a chunked message only: the parser adds trailers to its own head.
+    std::optional<http::header<IsRequest>> m_head;
 };
 
 using request_reader = message_reader<true>;
