An entry does not forward an owner's answer to another request

Cause: an owner repeats the request's id in each answer, but the entry did not compare it. With one answer too many on a connection, each later caller there gets the answer before its own.

Change: an answer that names another request counts as lost, and its connection is closed. Answers without an id, by which a node refuses a head that it cannot read, stay as they are.

Test, failing on: answer_of_an_owner_to_another_request_is_not_forwarded (200 in place of 502).

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -160,6 +160,13 @@
         report_connection_lost(why, cause::connection_lost);
         return false;
     }
+    const http::header<false>& head = m_reader->head();
+    const auto answered = head.find(request_id_header);
+    if (answered != head.end() && answered->value() != m_request.m_head[request_id_header]) {
+        report_connection_lost({reason_code::conflict, "the response belongs to another request"},
+                               cause::mismatched_answer);
+        return false;
+    }
     if (m_request.m_head.method() == http::verb::head) {
         m_reader->expect_no_body();
     }
--- a/pomelohead/forwarding/expect_continue_test.cc
+++ b/pomelohead/forwarding/expect_continue_test.cc
@@ -179,4 +179,26 @@
     });
 }
 
+// Guards against a caller that gets the answer to another request: an owner's surplus answer waits
+// on a connection between two nodes when the next request is sent there.
+BOOST_AUTO_TEST_CASE(answer_of_an_owner_to_another_request_is_not_forwarded)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        testing::raw_target owner(io, {address, owner_port});
+        std::string surplus;
+        owner.m_script = [&](const raw_request& r) {
+            const std::string answer = "HTTP/1.1 200 OK\r\nPomelohead-Outcome: complete\r\n"
+                                       "Pomelohead-Request-Id: " +
+                                       r.field("Pomelohead-Request-Id") +
+                                       "\r\nContent-Length: 2\r\n\r\nok";
+            return raw_reply{std::exchange(surplus, answer) + answer};
+        };
+        entry_fixture h(io, "bala");
+        BOOST_TEST(h.post("a").result_int() == 200U);
+        const http::header<false> second = h.post("b");
+        BOOST_TEST(second.result_int() == 502U);
+        BOOST_TEST(second[outcome_header] == "unknown");
+    });
+}
+
 } // namespace pomelohead::forwarding
