Readers keep no more than 64 KiB between two pieces of a body

Cause: Beast's parser takes a chunk size with its extensions, and all trailers, only once they are whole, and the buffer that holds them until then had no maximum size.

Change: while a body is read, the buffer holds 64 KiB at most, as much as a piece; more is malformed, which ends the exchange at once (502, or 400 to a caller), and the reason is in owner_request. The same cause stood in the clients of the configuration service and of the command line.

--- a/pomelohead/cli/admin_client.cc
+++ b/pomelohead/cli/admin_client.cc
@@ -24,6 +24,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Bytes of an answer that are kept before they are parsed: a chunk size with its extensions, or all
+// trailers.
+constexpr std::size_t max_buffered_bytes = 64UL * 1024UL;
+
 // The part of an error page that is shown.
 constexpr std::size_t max_shown_bytes = 200;
 
@@ -32,6 +36,10 @@
     if (error == beast::error::timeout) {
         return {reason_code::timed_out, where + " gave no answer in time"};
     }
+    if (error == http::error::buffer_overflow) {
+        return {reason_code::too_large, where + " sent a line or trailers of more than " +
+                                            std::to_string(max_buffered_bytes) + " bytes"};
+    }
     if (error == http::error::body_limit) {
         return {reason_code::too_large,
                 where + " sent more than " + std::to_string(max_answer_bytes) + " bytes"};
@@ -74,7 +82,7 @@
         }
 
         beast::tcp_stream m_stream;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer{max_buffered_bytes};
         http::request<http::empty_body> m_request;
         http::response_parser<http::string_body> m_parser;
         admin_answer& m_answer;
--- a/pomelohead/cli/admin_client_test.cc
+++ b/pomelohead/cli/admin_client_test.cc
@@ -185,6 +185,8 @@
     };
     const std::string request = "GET /status";
     const std::string huge = "HTTP/1.1 200 OK\r\nContent-Length: 8000001\r\n\r\n";
+    const std::string endless =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(200'000, 'x');
     const answer_case cases[] = {
         {"good", {{request, http_answer("200 OK", "{}")}}, reason_code::none},
         {"missing page", {{request, http_answer("404 Not Found", "")}}, reason_code::not_found},
@@ -195,6 +197,7 @@
          reason_code::interrupted},
         {"no answer, closed", {{request, ""}}, reason_code::interrupted},
         {"oversized", {{request, huge}}, reason_code::too_large},
+        {"chunk line without end", {{request, endless}}, reason_code::too_large},
         {"silence", {}, reason_code::timed_out},
     };
     for (const answer_case& c : cases) {
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -3,7 +3,6 @@
 #include "pomelohead/forwarding/http_message.h"
 
 #include "pomelohead/runtime/fiber.h"
-#include "pomelohead/telemetry/log.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -14,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace pomelohead::forwarding {
 namespace {
@@ -275,15 +275,21 @@
     body.data = piece.data();
     body.size = piece.size();
     body.more = true;
+    // The parser keeps a chunk size with its extensions, or all trailers, in the buffer until the
+    // last of their bytes has arrived.
+    m_buffer.max_size(std::max(m_buffer.size(), max_piece_bytes));
     const auto [error, size] = await_until(m_stream, deadline, [&](auto handler) {
         http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler));
     });
+    m_buffer.max_size(std::numeric_limits<std::size_t>::max());
     piece.resize(space - body.size);
     body.data = nullptr;
     body.size = 0;
-    if (!m_growth_logged && m_buffer.size() > max_piece_bytes) {
-        m_growth_logged = true;
-        log_event(log_level::warning, "read_buffer_grew", {{"bytes", m_buffer.size()}});
+    if (error == http::error::buffer_overflow) {
+        fail(why, reason_code::malformed,
+             "more than " + std::to_string(max_piece_bytes) +
+                 " bytes between two pieces of a body");
+        return body_state::failed;
     }
     if (error && error != http::error::need_buffer) {
         why = to_reason(error);
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -4,7 +4,8 @@
 // Neither holds a complete body, so uploads of any size pass in bounded memory. Both reject
 // ambiguous messages: with both length headers, repeated lengths or folded lines. Responses that
 // are delimited by the end of the connection are rejected unless accept_unframed() was called.
-// Trailers are discarded.
+// Trailers are discarded. What stands between the pieces of a body (chunk sizes with their extensions,
+// trailers) is bounded like the pieces themselves.
 //
 //     request_reader reader(stream, buffer);
 //     reason why;
@@ -105,7 +106,7 @@
     [[nodiscard]] bool done() const { return m_parser->is_done(); }
 
     /// Reads the next piece of the body, at most `max_bytes`, into `piece`. Fails with interrupted
-    /// if the connection ends before the body does.
+    /// if the connection ends before the body does, and with malformed or timed_out.
     body_state read_body(std::string& piece, std::size_t max_bytes, time_point deadline,
                          reason& why);
 
@@ -116,7 +117,6 @@
     boost::beast::tcp_stream& m_stream;
     boost::beast::flat_buffer& m_buffer;
     bool m_unframed_accepted = false;
-    bool m_growth_logged = false;
     std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
     /// Of a chunked message only: the parser adds trailers to its own head.
     std::optional<http::header<IsRequest>> m_head;
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -519,6 +519,7 @@
         process_event({.m_kind = owner_event_kind::deadline});
         return;
     }
+    m_detail = why.m_text;
     const bool lost =
         why.m_code == reason_code::interrupted || why.m_code == reason_code::cancelled;
     const bool crashed = lost && m_target->detect_crash(m_epoch);
--- a/pomelohead/source/source_client.cc
+++ b/pomelohead/source/source_client.cc
@@ -22,6 +22,9 @@
 
 constexpr unsigned http_version = 11;
 constexpr std::size_t max_header_bytes = 8'192;
+// Bytes of a response that are kept before they are parsed: a chunk size with its extensions, or
+// all trailers.
+constexpr std::size_t max_buffered_bytes = 64UL * 1024UL;
 constexpr const char* index_header = "X-Index";
 
 read_result failure(reason_code code, std::string text)
@@ -40,7 +43,9 @@
     if (error == asio::error::operation_aborted) {
         return reason_code::cancelled;
     }
-    return error == http::error::body_limit ? reason_code::too_large : otherwise;
+    const bool is_too_large =
+        error == http::error::body_limit || error == http::error::buffer_overflow;
+    return is_too_large ? reason_code::too_large : otherwise;
 }
 
 std::optional<std::uint64_t> parse_index(std::string_view text)
@@ -127,7 +132,7 @@
             return failure(reason_code_for(write_error, reason_code::interrupted),
                            request.m_key + ": " + write_error.message());
         }
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(max_buffered_bytes);
         http::response_parser<http::string_body> parser;
         parser.header_limit(max_header_bytes);
         parser.body_limit(config::max_value_bytes);
--- a/pomelohead/source/source_client_test.cc
+++ b/pomelohead/source/source_client_test.cc
@@ -114,6 +114,10 @@
          read_status::failed, reason_code::malformed},
         {"oversized value", "HTTP/1.1 200 OK\r\nX-Index: 7\r\nContent-Length: 1000001\r\n\r\n",
          false, read_status::failed, reason_code::too_large},
+        {"chunk line without end",
+         "HTTP/1.1 200 OK\r\nX-Index: 7\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+             std::string(200'000, 'x'),
+         false, read_status::failed, reason_code::too_large},
         {"not HTTP", "garbage\r\n\r\n", false, read_status::failed, reason_code::interrupted},
         {"closed without a response", "", false, read_status::failed, reason_code::interrupted},
         {"accepts and never responds", "", true, read_status::failed, reason_code::timed_out},
--- a/testing/raw_target.cc
+++ b/testing/raw_target.cc
@@ -102,9 +102,18 @@
     }
     m_requests.push_back(request);
     --m_concurrent_requests;
-    const auto [error, size] = await<error_code, std::size_t>([&](auto handler) {
-        boost::asio::async_write(socket, boost::asio::buffer(reply.m_bytes), std::move(handler));
-    });
+    const auto write = [&socket](const std::string& bytes) {
+        return std::get<0>(await<error_code, std::size_t>([&](auto handler) {
+            boost::asio::async_write(socket, boost::asio::buffer(bytes), std::move(handler));
+        }));
+    };
+    const error_code error = write(reply.m_bytes);
+    while (!error && !reply.m_without_end.empty()) {
+        if (write(reply.m_without_end)) {
+            return false;
+        }
+        ++m_repetitions;
+    }
     if (reply.m_reset) {
         error_code ignored;
         socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/testing/raw_target.h
+++ b/testing/raw_target.h
@@ -25,10 +25,11 @@
 
 struct raw_reply {
     std::string m_bytes;
-    bool m_close = false;       ///< ends the connection in order after the bytes
-    bool m_reset = false;       ///< resets it instead
-    duration m_delay{};         ///< before the bytes
-    bool m_before_body = false; ///< sent without reading the request's body
+    bool m_close = false;        ///< ends the connection in order after the bytes
+    bool m_reset = false;        ///< resets it instead
+    duration m_delay{};          ///< before the bytes
+    bool m_before_body = false;  ///< sent without reading the request's body
+    std::string m_without_end{}; ///< written after m_bytes until the peer closes the connection
 };
 
 /// A listener whose connections are served one request at a time.
@@ -44,6 +45,8 @@
     script_fn m_script;
     [[nodiscard]] const std::vector<raw_request>& requests() const { return m_requests; }
     [[nodiscard]] std::size_t most_at_once() const { return m_most_at_once; }
+    /// How often m_without_end of any reply has been written.
+    [[nodiscard]] std::size_t repetitions() const { return m_repetitions; }
 
 private:
     using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -58,6 +61,7 @@
     std::vector<raw_request> m_requests;
     std::size_t m_concurrent_requests = 0;
     std::size_t m_most_at_once = 0;
+    std::size_t m_repetitions = 0;
     bool m_stopped = false;
     fiber_group m_fibers;
 };
