A registration under an unknown service takes no target out of use

Cause: of the registrations at one address the latest start is used, and the comparison included those that name no target of the configuration; they were dropped only afterwards.

Change: a registration under a service that the configuration does not name decides nothing: not whose address it is, not which start is the latest under a key, not what has been removed, nor which hosts may relay. Once the configuration names its service it counts like any other.

Tests, failing on: registration_under_an_unknown_service_takes_no_target_out_of_use (four of its five cases; the fifth fails for the host), registration_counts_once_the_configuration_names_its_service.

--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -85,7 +85,7 @@
     }
     m_removed.erase(key);
     const auto it = m_instances.find(key);
-    if (it != m_instances.end()) {
+    if (it != m_instances.end() && names_target(it->second)) {
         const instance& current_instance = it->second;
         if (received.m_started_ms < current_instance.m_started_ms ||
             (received.m_started_ms == current_instance.m_started_ms &&
@@ -118,7 +118,9 @@
     }
     log_event(log_level::info, "target_gone",
               {{"target", it->second.m_id}, {"service", it->second.m_service}});
-    m_removed.add(key, it->second, revision.m_epoch);
+    if (names_target(it->second)) {
+        m_removed.add(key, it->second, revision.m_epoch);
+    }
     m_instances.erase(it);
     m_changed = true;
 }
@@ -140,9 +142,12 @@
     m_on_snapshot(m_current);
 }
 
-bool snapshot_builder::has_service(const std::string& name) const
+// Other writers may register under services of their own. Such a registration names no target, so
+// it decides nothing about those that do: not whose address it is, nor which start is the latest.
+bool snapshot_builder::names_target(const instance& item) const
 {
-    return std::ranges::binary_search(m_configuration->m_services, name, {},
+    return !m_configuration ||
+           std::ranges::binary_search(m_configuration->m_services, item.m_service, {},
                                       &config::service::m_name);
 }
 
@@ -152,15 +157,17 @@
 {
     std::map<std::pair<std::string_view, std::uint16_t>, std::int64_t> latest_start;
     for (const auto& [key, item] : m_instances) {
-        std::int64_t& start = latest_start[{item.m_host, item.m_port}];
-        start = std::max(start, item.m_started_ms);
+        if (names_target(item)) {
+            std::int64_t& start = latest_start[{item.m_host, item.m_port}];
+            start = std::max(start, item.m_started_ms);
+        }
     }
     std::vector<const instance*> selected;
     std::map<std::string, std::string_view> omitted;
     for (const auto& [key, item] : m_instances) {
         const bool is_superseded =
             item.m_started_ms > 0 && item.m_started_ms < latest_start[{item.m_host, item.m_port}];
-        if (!has_service(item.m_service)) {
+        if (!names_target(item)) {
             omitted[key] = "the configuration does not name its service";
         }
         else if (is_superseded) {
@@ -195,7 +202,7 @@
 {
     std::vector<std::string> hosts;
     for (const auto& [key, item] : m_instances) {
-        if (item.m_failure_domain == failure_domain && !item.m_draining &&
+        if (item.m_failure_domain == failure_domain && !item.m_draining && names_target(item) &&
             std::ranges::find(hosts, item.m_host) == hosts.end()) {
             hosts.push_back(item.m_host);
         }
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -12,6 +12,7 @@
 //   - Of two registrations under one key, that of the earlier start never replaces that of the
 //     later one. That of a target that has left is not used again when a restored store names it.
 //   - Of two registrations at one address, only that of the later start is in the snapshot.
+//   - A registration under a service that the configuration does not name changes nothing.
 //
 //     snapshot_builder builder(decode, on_snapshot);
 //     builder.put({.m_key = "configuration", .m_revision = {1, 7}, .m_value = bytes});
@@ -75,7 +76,8 @@
     [[nodiscard]] bool supersedes(config::version_number version, std::uint64_t epoch) const;
     bool apply_instance(const source::key_change& change, instance received);
     void reject(const std::string& key, reason why);
-    [[nodiscard]] bool has_service(const std::string& name) const;
+    /// Whether the registration is of a service of the configuration; true before there is one.
+    [[nodiscard]] bool names_target(const instance& item) const;
     /// Returns the registrations that the snapshot is made from, and logs which others there are.
     [[nodiscard]] std::vector<const instance*> select_instances();
     void log_omissions(std::map<std::string, std::string_view> omitted);
--- a/pomelohead/discovery/snapshot_builder_test.cc
+++ b/pomelohead/discovery/snapshot_builder_test.cc
@@ -276,6 +276,65 @@
     BOOST_TEST(d.targets().empty());
 }
 
+// Guards against a target that is out of use because another writer has registered its address or
+// its key, with a later start, under a service that the configuration does not name.
+BOOST_AUTO_TEST_CASE(registration_under_an_unknown_service_takes_no_target_out_of_use)
+{
+    struct foreign_case {
+        const char* m_name;
+        const char* m_key;
+        const char* m_host;
+        bool m_is_first;
+        bool m_is_removed;
+    };
+    const foreign_case cases[] = {
+        {"the target's address, before it", "targets/other", "10.0.0.1", true, false},
+        {"the target's address, after it", "targets/other", "10.0.0.1", false, false},
+        {"the target's key", "targets/i-1", "10.0.0.1", true, false},
+        {"the target's key, removed", "targets/i-1", "10.0.0.1", true, true},
+        {"another host", "targets/other", "10.0.0.9", false, false},
+    };
+    for (const foreign_case& c : cases) {
+        BOOST_TEST_CONTEXT(c.m_name)
+        {
+            builder_fixture d;
+            d.put("configuration", make_configuration(4));
+            d.put("targets/i-1", make_instance("i-1"));
+            instance foreign = make_instance("other", 900, c.m_host);
+            foreign.m_service = "another-tool";
+            foreign.m_sequence = 70;
+            d.put(c.m_key, foreign);
+            if (c.m_is_removed) {
+                d.remove(c.m_key);
+                d.restore();
+            }
+            if (c.m_is_first) {
+                d.put("targets/i-1", make_instance("i-1"));
+            }
+            BOOST_TEST((d.targets() == names{"i-1"}));
+            BOOST_TEST((d.m_snapshot_builder.hosts_of("bala") == names{"10.0.0.1"}));
+        }
+    }
+}
+
+// An address may pass to a service that only the next version of the configuration names.
+BOOST_AUTO_TEST_CASE(registration_counts_once_the_configuration_names_its_service)
+{
+    builder_fixture d;
+    d.put("configuration", make_configuration(4));
+    d.put("targets/i-1", make_instance("i-1"));
+    instance later = make_instance("i-2", 900);
+    later.m_service = "register";
+    d.put("targets/i-2", later);
+    BOOST_TEST((d.targets() == names{"i-1"}));
+    config::snapshot next = make_configuration(5);
+    config::service added;
+    added.m_name = "register";
+    next.m_services.insert(next.m_services.begin(), added);
+    d.put("configuration", next);
+    BOOST_TEST((d.targets() == names{"i-2"}));
+}
+
 BOOST_AUTO_TEST_CASE(snapshot_is_published_only_after_a_change)
 {
     builder_fixture d;
