A cut watch is no outage of the store

Cause: the follower took the end of a watch's connection for an outage, after which a missing key is kept for 2.3 s, longer than the 2 s for which a target that has left may be used, and each further cut started that grace anew.

Change: when the connection of a watch that waits ends, the follower asks at once for the changes since its revision. Contact is lost only if that call fails, and only then does the grace start. So a cut costs one call more, and no longer a list of the whole part, nor the calls of all followers of the relay, which were told that it had lost the store. The line store_lost says outages only; watch_cut says cuts.

The fake store answers a watch that does not wait at once, as stores do.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -108,6 +108,10 @@
         log_event(log_level::warning, "store_lost",
                   {{"part", part.m_name}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
     };
+    hooks.m_on_watch_cut = [&part](const reason& why) {
+        log_event(log_level::info, "watch_cut",
+                  {{"part", part.m_name}, {"code", to_string(why.m_code)}, {"why", why.m_text}});
+    };
     hooks.m_on_history_lost = [&part](const source::store_answer& answer) {
         log_event(log_level::info, "store_history_lost",
                   {{"part", part.m_name},
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -457,6 +457,34 @@
     });
 }
 
+// Guards against a cut watch that counts as the loss of the store: the relay lists the store again,
+// its followers leave it and call the store themselves, and it keeps removals back.
+BOOST_AUTO_TEST_CASE(cut_watch_of_the_relay_costs_no_list_and_no_call_of_its_followers)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        failure_domain_fixture d(io);
+        BOOST_TEST(d.all_nodes_have("target-0"));
+        sleep_for(300ms);
+        const auto lists_before = d.m_lists;
+        const std::size_t calls_before = d.m_store.calls();
+        constexpr int cuts = 3;
+        for (int i = 0; i < cuts; ++i) {
+            d.m_store.cut_watches();
+            sleep_for(300ms); // until the watches wait again
+        }
+        d.m_store.erase("target-0");
+        d.m_store.put("new", "10.9.0.1");
+        BOOST_TEST(d.all_nodes_have("new"));
+        for (int node = 0; node < node_count; ++node) {
+            BOOST_TEST(!d.has_target(node, "target-0"));
+            BOOST_TEST(d.m_lists.at(node) == lists_before.at(node));
+        }
+        // Two calls of the relay for each part and cut, and watches that time out or end by a
+        // change.
+        BOOST_TEST(d.m_store.calls() - calls_before <= 4U * cuts + 16U);
+    });
+}
+
 // A relay whose machine ends, or whose connections go silent, resets nothing: only the time that
 // its answer takes shows it.
 BOOST_AUTO_TEST_CASE(silent_relay_is_replaced_by_the_store)
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -8,6 +8,14 @@
 #include <vector>
 
 namespace pomelohead::source {
+namespace {
+
+bool is_connection_end(reason_code code)
+{
+    return code == reason_code::interrupted || code == reason_code::cancelled;
+}
+
+} // namespace
 
 store_follower::store_follower(follower_options options, timer_service& timers,
                                follower_hooks hooks, std::uint64_t seed)
@@ -148,19 +156,20 @@
     m_next_call_timer = m_timers.after(delay, [this] { list_changed(); });
 }
 
-void store_follower::watch()
+void store_follower::watch(milliseconds wait)
 {
     ++m_status.m_calls;
     const std::uint64_t generation = ++m_generation;
-    m_hooks.m_watch({.m_after = m_status.m_revision, .m_wait = m_options.m_watch_wait},
-                    [this, generation](const store_answer& changes) {
+    m_hooks.m_watch({.m_after = m_status.m_revision, .m_wait = wait},
+                    [this, generation, wait](const store_answer& changes) {
                         if (generation == m_generation) {
-                            on_changes(changes);
+                            on_changes(changes, wait);
                         }
                     });
 }
 
-void store_follower::on_changes(const store_answer& changes)
+// `wait`: for which the watch asked.
+void store_follower::on_changes(const store_answer& changes, milliseconds wait)
 {
     if (changes.m_status == store_status::history_lost) {
         on_success(changes);
@@ -169,7 +178,12 @@
         return;
     }
     if (changes.m_status != store_status::ok) {
-        on_failure(changes.m_why);
+        if (wait > milliseconds::zero() && is_connection_end(changes.m_why.m_code)) {
+            on_watch_cut(changes.m_why);
+        }
+        else {
+            on_failure(changes.m_why);
+        }
         return;
     }
     if (changes.m_is_complete_list) {
@@ -289,6 +303,15 @@
     }
 }
 
+// The store may have ended the watch as it may end any, or because it goes down: a call that does
+// not wait tells.
+void store_follower::on_watch_cut(const reason& why)
+{
+    m_hooks.m_on_watch_cut(why);
+    ++m_generation;
+    m_next_call_timer = m_timers.after(duration{}, [this] { watch(milliseconds::zero()); });
+}
+
 void store_follower::on_failure(const reason& why)
 {
     const bool was_up = std::exchange(m_status.m_up, false);
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -4,6 +4,9 @@
 // watch's revision is older than the store's history, it lists again; keys that are then
 // missing have been removed in the meantime.
 //
+// A store may end the connection of a watch that waits. This alone is no outage: the follower asks
+// at once for the changes since its revision, and has lost contact only if that call fails too.
+//
 // During an outage of the store the leases of live writers may expire; they write their
 // entries again soon after the store has recovered. They also write again what a restore has
 // lost. Therefore a key that disappears during an outage or in a restore, or within the removal
@@ -63,6 +66,8 @@
     std::function<void(const reason&)>
         m_on_contact_lost;                       ///< the first failed call after successful ones
     std::function<void()> m_on_contact_regained; ///< the first successful call after failed ones
+    /// The connection of a watch has ended while it waited; contact is not lost yet.
+    std::function<void(const reason&)> m_on_watch_cut = [](const reason&) {};
     /// The store does not have the changes after the watched revision.
     std::function<void(const store_answer&)> m_on_history_lost = [](const store_answer&) {};
     /// The store has been restored from a copy since its latest answer.
@@ -118,13 +123,15 @@
     [[nodiscard]] bool is_outdated(const store_answer& answer);
     void on_list_page(const std::string& after, const store_answer& page);
     void finish_list();
-    void watch();
-    void on_changes(const store_answer& changes);
+    void watch() { watch(m_options.m_watch_wait); }
+    void watch(milliseconds wait);
+    void on_changes(const store_answer& changes, milliseconds wait);
     void mark_all_unlisted();
     [[nodiscard]] bool mark_unchanged(const std::vector<key_revision>& keys);
     void apply_value(const key_change& change);
     void apply_removal(const std::string& key, const store_revision& revision);
     void apply_pending_removals();
+    void on_watch_cut(const reason& why);
     void on_failure(const reason& why);
     void on_success(const store_answer& answer);
     [[nodiscard]] bool is_in_removal_grace() const;
--- a/testing/fake_store.cc
+++ b/testing/fake_store.cc
@@ -139,7 +139,8 @@
         return;
     }
     store_answer now = changes_after(request.m_after.m_number);
-    if (now.m_status != store_status::ok || !now.m_items.empty()) {
+    const bool waits = request.m_wait > milliseconds::zero();
+    if (!waits || now.m_status != store_status::ok || !now.m_items.empty()) {
         done(now);
         return;
     }
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -37,6 +37,9 @@
 
     void set_mode(store_mode mode) { m_mode = mode; }
 
+    /// Ends the watches that wait; the store stays up.
+    void cut_watches();
+
     /// Forgets all history, and cuts the watches that wait.
     void forget_history();
 
@@ -54,6 +57,7 @@
     void watch(const source::watch_request& request, done_fn done);
 
     [[nodiscard]] std::size_t calls() const { return m_calls; }
+    [[nodiscard]] std::size_t pages_returned() const { return m_pages_returned; }
 
     /// The present values, by key.
     [[nodiscard]] std::map<std::string, std::string> values() const;
@@ -74,7 +78,6 @@
     };
 
     [[nodiscard]] source::store_answer changes_after(std::uint64_t revision) const;
-    void cut_watches();
     void record(source::key_change change);
     void fail(const done_fn& done);
 
