A message that goes on without end is given up after the deadline

Cause: await_until() cancels an operation that waits, and none does where the next bytes are always there. http_get() has a time limit for each piece of a body and none for all.

Change: after the deadline a reader takes 8 MiB more at most, over all pieces and heads of a message, and then fails with timed_out; an answer that has arrived in full is smaller, as sockets bound it, and is still delivered. http_get() gives a whole body 30 s.

--- a/pomelohead/forwarding/http_get.cc
+++ b/pomelohead/forwarding/http_get.cc
@@ -1,5 +1,7 @@
 #include "pomelohead/forwarding/http_get.h"
 
+#include <algorithm>
+
 namespace pomelohead::forwarding {
 namespace {
 
@@ -8,8 +10,9 @@
 {
     std::string piece;
     body_state state = reader.done() ? body_state::end : body_state::more;
+    const time_point end = clock_type::now() + limits.m_body_timeout;
     while (state == body_state::more) {
-        const time_point deadline = clock_type::now() + limits.m_piece_timeout;
+        const time_point deadline = std::min(clock_type::now() + limits.m_piece_timeout, end);
         state = reader.read_body(piece, max_piece_bytes, deadline, why);
         body += piece;
         if (body.size() > limits.m_max_bytes) {
--- a/pomelohead/forwarding/http_get.h
+++ b/pomelohead/forwarding/http_get.h
@@ -18,6 +18,7 @@
     /// For each piece of the body: a large body over a slow link may take long as long as it makes
     /// progress.
     duration m_piece_timeout = std::chrono::milliseconds(1'500);
+    duration m_body_timeout = std::chrono::seconds(30); ///< for the whole body
     std::size_t m_max_bytes = 16UL * 1024UL * 1024UL;
 };
 
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -170,6 +170,19 @@
     }
 }
 
+// A time limit cancels an operation that waits. None does where the next bytes are always there.
+template <bool IsRequest>
+bool message_reader<IsRequest>::account_for_late_bytes(std::size_t bytes, time_point deadline,
+                                                       reason& why)
+{
+    if (clock_type::now() <= deadline) {
+        return true;
+    }
+    m_late_bytes += bytes;
+    return m_late_bytes <= max_late_bytes ||
+           fail(why, reason_code::timed_out, "the message goes on after the time limit");
+}
+
 template <bool IsRequest>
 bool message_reader<IsRequest>::check_framing(std::string_view head, reason& why) const
 {
@@ -205,7 +218,8 @@
 bool message_reader<IsRequest>::read_head(const head_limits& limits, reason& why)
 {
     std::size_t head_bytes = 0;
-    if (!buffer_head(limits, head_bytes, why)) {
+    if (!buffer_head(limits, head_bytes, why) ||
+        !account_for_late_bytes(head_bytes, limits.m_first_byte, why)) {
         return false;
     }
     const auto data = m_buffer.cdata();
@@ -295,6 +309,9 @@
         why = to_reason(error);
         return body_state::failed;
     }
+    if (!account_for_late_bytes(size, deadline, why)) {
+        return body_state::failed;
+    }
     return m_parser->is_done() ? body_state::end : body_state::more;
 }
 
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -4,8 +4,8 @@
 // Neither holds a complete body, so uploads of any size pass in bounded memory. Both reject
 // ambiguous messages: with both length headers, repeated lengths or folded lines. Responses that
 // are delimited by the end of the connection are rejected unless accept_unframed() was called.
-// Trailers are discarded. What stands between the pieces of a body (chunk sizes with their extensions,
-// trailers) is bounded like the pieces themselves.
+// Trailers are discarded. What stands between the pieces of a body (chunk sizes with their
+// extensions, trailers) is bounded like the pieces themselves.
 //
 //     request_reader reader(stream, buffer);
 //     reason why;
@@ -37,6 +37,10 @@
 /// The most bytes that one read of a body returns.
 inline constexpr std::size_t max_piece_bytes = 64UL * 1024UL;
 
+/// The most bytes of a message that are read after the deadline. What has arrived by then, which
+/// the sockets of both sides bound, is still delivered; a peer that always sends more is given up.
+inline constexpr std::size_t max_late_bytes = 8UL * 1024UL * 1024UL;
+
 /// Limits on the head of a message.
 struct head_limits {
     std::size_t m_max_bytes = 16UL * 1024UL;
@@ -112,11 +116,13 @@
 
 private:
     bool buffer_head(const head_limits& limits, std::size_t& head_bytes, reason& why);
+    bool account_for_late_bytes(std::size_t bytes, time_point deadline, reason& why);
     bool check_framing(std::string_view head, reason& why) const;
 
     boost::beast::tcp_stream& m_stream;
     boost::beast::flat_buffer& m_buffer;
     bool m_unframed_accepted = false;
+    std::size_t m_late_bytes = 0; ///< read after the deadline
     std::optional<http::parser<IsRequest, http::buffer_body>> m_parser;
     /// Of a chunked message only: the parser adds trailers to its own head.
     std::optional<http::header<IsRequest>> m_head;
--- a/pomelohead/forwarding/http_message_test.cc
+++ b/pomelohead/forwarding/http_message_test.cc
@@ -1,12 +1,16 @@
 #include "pomelohead/forwarding/http_message.h"
 
 #include "pomelohead/forwarding/connection_pool.h"
+#include "pomelohead/forwarding/http_get.h"
 #include "pomelohead/forwarding/http_server.h"
 #include "testing/fiber_program.h"
+#include "testing/raw_target.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace pomelohead::forwarding {
 namespace {
 
@@ -172,4 +176,70 @@
     });
 }
 
+// Guards against a call that never ends: each piece of its answer arrives in time, and there is
+// always one more.
+BOOST_AUTO_TEST_CASE(response_that_trickles_is_given_up)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        testing::raw_target target(io, server_endpoint);
+        target.m_script = [](const testing::raw_request&) {
+            return testing::raw_reply{.m_bytes = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n",
+                                      .m_without_end = "x",
+                                      .m_pause = 5ms};
+        };
+        connection_pool pool(io, server_endpoint, 0);
+        in_flight_calls calls;
+        reason why;
+        const auto response = http_get(
+            pool, "h", "/x",
+            {.m_deadline = clock_type::now() + 5s, .m_piece_timeout = 1s, .m_body_timeout = 100ms},
+            calls, why);
+        BOOST_TEST(!response.has_value());
+        BOOST_TEST((why.m_code == reason_code::timed_out));
+    });
+}
+
+// Guards against a request without a final answer: the peer always has more bytes ready, so that no
+// operation waits that the time limit could cancel.
+BOOST_AUTO_TEST_CASE(message_that_goes_on_without_end_is_given_up_after_the_deadline)
+{
+    constexpr std::size_t chunk_bytes = 1UL << 18U;
+    constexpr std::size_t max_chunks = 400; // bounds the test where the reader never stops
+    const std::string chunk = "40000\r\n" + std::string(chunk_bytes, 'b') + "\r\n";
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        boost::asio::ip::tcp::acceptor acceptor(io, to_asio(server_endpoint));
+        reason why;
+        const auto client = connect(io, server_endpoint, clock_type::now() + 5s, why);
+        BOOST_REQUIRE(client);
+        boost::asio::ip::tcp::socket socket(io);
+        await<boost::system::error_code>(
+            [&](auto handler) { acceptor.async_accept(socket, std::move(handler)); });
+        // Writes while the reader reads, which a fiber of the same thread could not.
+        std::thread peer([&] {
+            boost::system::error_code error;
+            const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            boost::asio::write(socket, boost::asio::buffer(head), error);
+            for (std::size_t i = 0; i < max_chunks && !error; ++i) {
+                boost::asio::write(socket, boost::asio::buffer(chunk), error);
+            }
+        });
+        response_reader reader(client->m_stream, client->m_buffer);
+        BOOST_TEST(reader.read_head({}, why));
+        const time_point deadline = clock_type::now();
+        std::size_t total = 0;
+        std::string piece;
+        body_state state = body_state::more;
+        while (state == body_state::more) {
+            std::this_thread::sleep_for(100us); // so that the peer is ahead
+            state = reader.read_body(piece, max_piece_bytes, deadline, why);
+            total += piece.size();
+        }
+        BOOST_TEST((state == body_state::failed));
+        BOOST_TEST((why.m_code == reason_code::timed_out));
+        BOOST_TEST(total <= max_late_bytes + max_piece_bytes);
+        client->m_stream.close();
+        peer.join();
+    });
+}
+
 } // namespace pomelohead::forwarding
--- a/testing/raw_target.cc
+++ b/testing/raw_target.cc
@@ -108,11 +108,17 @@
         }));
     };
     const error_code error = write(reply.m_bytes);
-    while (!error && !reply.m_without_end.empty()) {
-        if (write(reply.m_without_end)) {
-            return false;
+    if (!error && !reply.m_without_end.empty()) {
+        for (std::size_t i = 0; i < reply.m_max_repetitions; ++i) {
+            if (write(reply.m_without_end)) {
+                break;
+            }
+            ++m_repetitions;
+            if (reply.m_pause > duration::zero()) {
+                sleep_for(reply.m_pause);
+            }
         }
-        ++m_repetitions;
+        return false;
     }
     if (reply.m_reset) {
         error_code ignored;
--- a/testing/raw_target.h
+++ b/testing/raw_target.h
@@ -30,6 +30,9 @@
     duration m_delay{};          ///< before the bytes
     bool m_before_body = false;  ///< sent without reading the request's body
     std::string m_without_end{}; ///< written after m_bytes until the peer closes the connection
+    duration m_pause{};          ///< between two repetitions of it
+    /// Ends the connection after so many; only bounds a test that would not end otherwise.
+    std::size_t m_max_repetitions = 5'000;
 };
 
 /// A listener whose connections are served one request at a time.
