A node that closes its connections reads no request behind another

Cause: while a request is in progress the server reads the next one ahead, also after announce_close(). So a connection in use took requests until the end of the stop, and the response before each of them had no Connection: close, as it was not the last.

Change: a server that closes its connections reads nothing ahead. The response in progress carries Connection: close, and a caller knows that what it sent behind it has not been read. What had been read ahead before the stop is still served.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -250,10 +250,12 @@
     }
 }
 
-// Reads the next request after request `number` while that one is in progress.
+// Reads the next request after request `number` while that one is in progress. A server that closes
+// its connections takes none: the response to `number` closes this one, and callers know that what
+// they sent behind it has not been read.
 void http_server::read_ahead(detail::server_connection& c, std::uint64_t number)
 {
-    if (c.m_started_requests != number || c.m_ended ||
+    if (m_closing || c.m_started_requests != number || c.m_ended ||
         number - c.m_finished_requests > max_pipelined) {
         return;
     }
