A request that comes during a planned stop ends before the stop cuts it

Cause: nothing asked, when a request was complete, whether it could still be answered. By the code, a lame duck as long as the grace, or longer, also accepted connections until the cut.

Change: with a time limit on the stop, a request that comes during it has until 0.2 s before the limit, so that it and its target end in time and the caller gets a final answer. One that is complete only after the listener has closed, and whose deadline lies later, is refused at once as not run (503, reason draining). The lame duck takes half of the limit at most. Without a time limit nothing changes.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -47,7 +47,7 @@
 
 void entry_exchange::run()
 {
-    if (!read_caller_headers() || !find_route() || !read_body()) {
+    if (!read_caller_headers() || !find_route() || !read_body() || !fit_into_stop()) {
         return;
     }
     build_owner_request_head();
@@ -151,6 +151,24 @@
     return true;
 }
 
+// A stop cuts what is in progress at its end. A request gets its final answer before that: it has
+// no more time than is left, and if it comes when the node takes no connections any more, it must
+// be able to use all of its time.
+bool entry_exchange::fit_into_stop()
+{
+    const time_point finish_by = m_service.m_callbacks.m_finish_by();
+    if (m_request.m_deadline <= finish_by) {
+        return true;
+    }
+    if (m_service.m_server.is_listener_closed()) {
+        m_exchange.close_after();
+        refuse(cause::draining, "the node stops before the request's deadline");
+        return false;
+    }
+    m_request.m_deadline = finish_by;
+    return true;
+}
+
 void entry_exchange::build_owner_request_head()
 {
     http::header<true>& head = m_request.m_head;
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -28,6 +28,7 @@
     bool find_route();
     bool read_caller_headers();
     bool read_body();
+    bool fit_into_stop();
     void build_owner_request_head();
     void run_actions();
     [[nodiscard]] time_point next_timeout();
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -162,6 +162,7 @@
     /// connection has already been read.
     void announce_close() { m_closing = true; }
     [[nodiscard]] bool is_closing() const { return m_closing; }
+    [[nodiscard]] bool is_listener_closed() const { return m_listener_closed; }
 
     /// Stops accepting connections and closes those that are between exchanges. Idempotent.
     void close_listener();
--- a/pomelohead/lifecycle/lifecycle_test.cc
+++ b/pomelohead/lifecycle/lifecycle_test.cc
@@ -118,4 +118,32 @@
     }
 }
 
+// Guards against requests that are taken until a stop cuts them, where its time limit is no longer
+// than the lame-duck period.
+BOOST_AUTO_TEST_CASE(half_of_a_bounded_stop_is_left_for_requests_in_flight)
+{
+    struct lame_duck_case {
+        duration m_lame_duck;
+        std::optional<duration> m_bound;
+        duration m_finishing_after;
+    };
+    const lame_duck_case cases[] = {
+        {3s, std::nullopt, 3s}, {3s, 60s, 3s}, {3s, 6s, 3s}, {3s, 4s, 2s}, {3s, 1s, 500ms},
+    };
+    for (const lame_duck_case& c : cases) {
+        testing::manual_timer_service timers;
+        graceful_shutdown stop(timers, {.m_lame_duck = c.m_lame_duck, .m_bound = c.m_bound}, {});
+        stop.request_began();
+        BOOST_TEST((stop.finish_by() == time_point::max()));
+        stop.begin();
+        const time_point begin = timers.now();
+        BOOST_TEST((stop.finish_by() ==
+                    (c.m_bound ? begin + *c.m_bound - final_answer_time : time_point::max())));
+        timers.advance(c.m_finishing_after - 1ms);
+        BOOST_TEST(accepts_callers(stop.phase()));
+        timers.advance(1ms);
+        BOOST_TEST((stop.phase() == phase::finishing));
+    }
+}
+
 } // namespace pomelohead::lifecycle
--- a/pomelohead/lifecycle/shutdown.cc
+++ b/pomelohead/lifecycle/shutdown.cc
@@ -1,5 +1,7 @@
 #include "pomelohead/lifecycle/shutdown.h"
 
+#include <algorithm>
+
 namespace pomelohead::lifecycle {
 
 std::string_view to_string(shutdown_phase value)
@@ -77,15 +79,24 @@
     if (phase() != shutdown_phase::serving) {
         return;
     }
-    m_lame_duck =
-        m_timers.after(m_options.m_lame_duck, [this] { handle(shutdown_event::lame_duck_over); });
+    duration lame_duck = m_options.m_lame_duck;
+    if (m_options.m_bound) {
+        lame_duck = std::min(lame_duck, *m_options.m_bound / 2);
+    }
+    m_lame_duck = m_timers.after(lame_duck, [this] { handle(shutdown_event::lame_duck_over); });
     if (m_options.m_bound) {
+        m_cut_at = m_timers.now() + *m_options.m_bound;
         m_bound =
             m_timers.after(*m_options.m_bound, [this] { handle(shutdown_event::bound_over); });
     }
     handle(shutdown_event::begin);
 }
 
+time_point graceful_shutdown::finish_by() const
+{
+    return m_cut_at ? *m_cut_at - final_answer_time : time_point::max();
+}
+
 void graceful_shutdown::handle(shutdown_event event)
 {
     const shutdown_phase before = phase();
--- a/pomelohead/lifecycle/shutdown.h
+++ b/pomelohead/lifecycle/shutdown.h
@@ -7,7 +7,9 @@
 // announces its departure to its peers. During the lame-duck period callers are still
 // accepted (their requests go to other owners), and "Connection: close" on responses
 // makes them reconnect elsewhere. Then the listener closes, and all requests in flight
-// finish, however long they take, unless the operator has set a time limit.
+// finish, however long they take, unless the operator has set a time limit. With a time limit
+// the lame-duck period takes at most half of it, and requests that come during the stop have to
+// end a little before it is over, so that callers get their final answers.
 //
 //     graceful_shutdown stop(timers, {.m_lame_duck = 5s}, [&](shutdown_phase phase) {
 //         if (phase == shutdown_phase::finishing) { listener.close(); }
@@ -61,6 +63,10 @@
 /// Whether responses carry "Connection: close".
 [[nodiscard]] bool closes_connections(shutdown_phase phase);
 
+/// Between the time by which requests have to end and the end of the stop: for their answers to be
+/// written and sent.
+inline constexpr duration final_answer_time = std::chrono::milliseconds(200);
+
 /// Runs the state machine on a timer_service and calls a hook on each phase change.
 class graceful_shutdown {
 public:
@@ -75,6 +81,10 @@
     void request_began() { handle(shutdown_event::request_began); }
     void request_ended() { handle(shutdown_event::request_ended); }
 
+    /// When the requests that come now have to end; time_point::max() while the node serves and if
+    /// the stop has no time limit.
+    [[nodiscard]] time_point finish_by() const;
+
     [[nodiscard]] const shutdown_state& state() const { return m_state; }
     [[nodiscard]] shutdown_phase phase() const { return m_state.m_phase; }
 
@@ -85,6 +95,7 @@
     shutdown_options m_options;
     std::function<void(shutdown_phase)> m_on_phase;
     shutdown_state m_state;
+    std::optional<time_point> m_cut_at; // end of a stop with a time limit
     timer_subscription m_lame_duck;
     timer_subscription m_bound;
 };
