The options of all Connection fields are honoured

Of a message with two Connection fields only the first one's options were removed, so that a field which concerns one connection was forwarded.

Cause: fields[] returns the first field of a name.

Test, failing before: connection_removes_no_field_that_every_recipient_needs (X-Other reaches the target).

--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -14,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <limits>
+#include <vector>
 
 namespace pomelohead::forwarding {
 namespace {
@@ -459,9 +460,14 @@
 
 void remove_hop_by_hop_headers(http::fields& fields)
 {
-    const std::string connection(fields[http::field::connection]);
-    for (const auto& option : http::token_list(connection)) {
-        const std::string_view name(option);
+    std::vector<std::string> options;
+    const auto [first, last] = fields.equal_range(http::field::connection);
+    for (auto field = first; field != last; ++field) {
+        for (const auto& option : http::token_list(field->value())) {
+            options.emplace_back(option);
+        }
+    }
+    for (const std::string& name : options) {
         if (!is_end_to_end_field(name)) {
             fields.erase(name);
         }
