A play of real processes that counts exits and requests without an answer

testing/process_play.py starts the command of the deploy file on loopback addresses, beside a store and targets with slots, a queue and kept connections, stops nodes in series that overlap while callers keep using open connections, and compares what both sides recorded.

--- /dev/null
+++ b/testing/process_play.py
@@ -0,0 +1,107 @@
+"""Plays stops and load on real processes and counts exits and requests without an answer.
+
+    python3 testing/process_play.py --seed 7 --nodes 4 --seconds 20 --net 63
+
+The nodes run the command of deploy/system.toml. The plan follows from the seed; times vary from
+run to run, and the verdict rests on counts only. Exits with 1 and a list if a promise was broken.
+"""
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import play_verdict  # noqa: E402
+from play_fleet import GRACE_S, Caller, Fleet  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+MIX = ("stops",)
+CALLERS = 30  # of each node: more than the slots of its target
+OVERLAPS_S = (0.0, 0.0, 0.05, 0.5, 1.5, 3.0, 5.0)
+SERIES_S = ((0.0,), (0.0,), (0.0, 0.01), (0.0, 1.0, 2.5, 4.0))
+
+
+async def restart_later(node, delay_s, signals):
+    await asyncio.sleep(delay_s)
+    await node.stop(signals)
+    node.start()
+
+
+async def play_stops(fleet, plan, until):
+    """Series of planned stops that overlap; a node starts again when the former one has ended."""
+    while time.monotonic() < until:
+        nodes = plan.sample(fleet.nodes, plan.randint(1, min(3, len(fleet.nodes) - 1)))
+        await asyncio.gather(*(restart_later(node, plan.choice(OVERLAPS_S),
+                                             plan.choice(SERIES_S)) for node in nodes))
+        await asyncio.sleep(plan.choice((0.1, 0.5, 1.0)))
+
+
+ACTIONS = {"stops": play_stops}
+
+
+async def play(options, directory):
+    plan = random.Random(options.seed)
+    fleet = Fleet(options.net, options.nodes, options.program, options.root, directory)
+    watching = asyncio.create_task(fleet.watch())
+    epoch = time.monotonic()
+    try:
+        await fleet.start()
+        until = time.monotonic() + options.seconds
+        callers = [Caller(fleet, node, random.Random(plan.random()), f"c{node.number}.{index}")
+                   for node in fleet.nodes for index in range(options.callers)]
+        calls = [asyncio.create_task(c.run(until + GRACE_S)) for c in callers]
+        acts = [ACTIONS[name](fleet, random.Random(plan.random()), until)
+                for name in options.mix.split(",")]
+        await asyncio.gather(*acts)
+        await asyncio.gather(*(node.stop() for node in fleet.nodes))
+        await asyncio.wait(calls)
+        for call in calls:
+            call.result()
+    finally:
+        watching.cancel()
+        fleet.close()
+    return fleet, play_verdict.judge(fleet, epoch)
+
+
+def parse(words):
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--nodes", type=int, default=4, choices=range(2, 12))
+    parser.add_argument("--seconds", type=float, default=20, help="without the last stop")
+    parser.add_argument("--callers", type=int, default=CALLERS, help="of each node")
+    parser.add_argument("--net", type=int, default=63, help="of the loopback addresses 127.NET")
+    parser.add_argument("--mix", default=",".join(MIX), help="of " + ",".join(ACTIONS))
+    parser.add_argument("--program", default=str(ROOT / "build" / "pomelohead"))
+    parser.add_argument("--root", default=str(ROOT), help="the checkout with the deploy file")
+    parser.add_argument("--keep-logs", help="a directory for the logs of a broken play")
+    return parser.parse_args(words)
+
+
+def main(words=None):
+    options = parse(words)
+    directory = tempfile.mkdtemp(prefix="pomelohead-play-")
+    try:
+        fleet, verdict = asyncio.run(play(options, directory))
+        print(f"seed {options.seed} mix {options.mix} nodes {options.nodes}: "
+              f"{len(fleet.requests)} requests, {len(verdict.broken)} broken; "
+              f"own loop at most {fleet.max_lag_s * 1000:.0f} ms late")
+        for word, count in sorted(verdict.counts.items()):
+            print(f"  {count:6} {word}")
+        for line in verdict.broken:
+            print(f"broken: {line}")
+        if verdict.broken and options.keep_logs:
+            kept = pathlib.Path(options.keep_logs) / f"seed-{options.seed}"
+            shutil.copytree(directory, kept, dirs_exist_ok=True)
+            (kept / "broken.txt").write_text("\n".join(verdict.broken) + "\n", "utf-8")
+            print(f"logs: {kept}")
+        return 1 if verdict.broken else 0
+    finally:
+        shutil.rmtree(directory)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
