Bounds that are fractions, true or false keep no node from starting

Callers saw: a node whose settings state bounds.drainMs, graceS or configMs as 2000.5, 6.0 or true ends at its start with code 1 and "must be a whole number". The platform allows whole numbers, fractions, true and false for each bound.

Cause: number_field() read bounds as unsigned integers. It also took a number beyond 64 bits for 0, and fraction_field() took inf and nan.

The grace is held in milliseconds, so a fraction of a second is kept.

--- a/pomelohead/settings/node_settings.h
+++ b/pomelohead/settings/node_settings.h
@@ -48,7 +48,7 @@
     source_settings m_source;
     std::optional<source_settings> m_store; ///< a key-value store in place of m_source
     std::string m_service; ///< runs on this host and calls through this node; may be empty
-    std::optional<std::chrono::seconds> m_stop_limit; ///< the host ends the process after it
+    std::optional<std::chrono::milliseconds> m_stop_limit; ///< the host ends the process after it
     /// Within which time after the store has taken a change each node has to go by it.
     std::optional<std::chrono::milliseconds> m_in_force_within;
     std::optional<double> m_link_mbps; ///< of the host's link, where that is known
