A faulty field that a node can do without keeps no node from starting

Callers saw: a node ends at its start with code 1 where one optional field of the platform's settings is faulty: a seed that cannot be read, an empty listen.control or service, a bound that is no number, a line without '=', or blanks around a name or a value.

Cause: parse_settings() refused the settings on any fault, whether a node needs the field or not.

Change: name, zone, region, ports and the store's address are required; any other faulty field is reported, logged as setting_ignored, and has its default; of a list the sound entries are used.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -49,15 +49,17 @@
     }
 }
 
+// The settings, and in `faults` what is wrong with them; nothing where a node cannot run with them.
 std::optional<settings::node_settings> read_settings(const node_arguments& arguments,
-                                                     const std::string& path, reason& why)
+                                                     const std::string& path,
+                                                     std::vector<settings::setting_fault>& faults,
+                                                     reason& why)
 {
     const auto text = read_file(path, max_settings_bytes, why);
     if (!text) {
         std::cerr << "pomelohead node: " << why.m_text << '\n';
         return std::nullopt;
     }
-    std::vector<settings::setting_fault> faults;
     auto settings = arguments.m_on_platform ? platform::parse_settings(*text, faults)
                                             : settings::parse_settings(*text, faults);
     if (settings && !arguments.m_policy_file.empty()) {
@@ -66,13 +68,25 @@
             std::cerr << "pomelohead node: " << why.m_text << '\n';
             return std::nullopt;
         }
+        const std::size_t before = faults.size();
         settings::parse_policy(*policy, *settings, faults);
+        if (faults.size() > before) {
+            settings.reset();
+        }
     }
     for (const settings::setting_fault& fault : faults) {
         std::cerr << path << ": " << to_string(fault) << '\n';
     }
     why = {reason_code::invalid, path + " has faults"};
-    return faults.empty() ? settings : std::nullopt;
+    return settings;
+}
+
+void log_ignored(const std::vector<settings::setting_fault>& faults)
+{
+    for (const settings::setting_fault& fault : faults) {
+        log_event(log_level::warning, "setting_ignored",
+                  {{"field", fault.m_path}, {"value", fault.m_value}, {"why", fault.m_allowed}});
+    }
 }
 
 // Reads the settings file again at each SIGHUP, and every few seconds, since it may change
@@ -115,7 +129,9 @@
             return;
         }
         m_last_text = *text;
-        if (const auto changed = read_settings(m_arguments, m_path, why)) {
+        std::vector<settings::setting_fault> faults;
+        if (const auto changed = read_settings(m_arguments, m_path, faults, why)) {
+            log_ignored(faults);
             m_node.reload(*changed);
         }
         else {
@@ -132,10 +148,12 @@
 };
 
 int run_node(settings::node_settings settings, const node::adapter& parts,
-             const node_arguments& arguments, const std::string& path)
+             const node_arguments& arguments, const std::string& path,
+             const std::vector<settings::setting_fault>& faults)
 {
     limit_heap_retention();
     init_logging(level_of(settings.m_log_level), settings.m_node);
+    log_ignored(faults);
     boost::asio::io_context& io = install_fiber_scheduler();
     node::node n(std::move(settings), io, parts);
     reason why;
@@ -172,17 +190,21 @@
                                  ? platform::settings_path()
                                  : arguments.m_settings;
     reason why;
-    auto settings = read_settings(arguments, path, why);
+    std::vector<settings::setting_fault> faults;
+    auto settings = read_settings(arguments, path, faults, why);
     if (!settings) {
         return why.m_code == reason_code::invalid ? exit_found : exit_unusable;
     }
+    if (arguments.m_check && !faults.empty()) {
+        return exit_found;
+    }
     if (arguments.m_check) {
         std::cout << path << ": no faults\n";
         return exit_good;
     }
     const int code = run_node(std::move(*settings),
                               arguments.m_on_platform ? platform::make_adapter() : node::adapter{},
-                              arguments, path);
+                              arguments, path, faults);
     // Everything of the node has ended. At a normal exit log4cplus joins the threads of its
     // pool, which does not return on machines that run one thread at a time.
     std::cout.flush();
