--- a/testing/play_fleet.py
+++ b/testing/play_fleet.py
@@ -1,12 +1,10 @@
-"""The parts of testing/process_play.py: nodes as real processes, targets and callers.
+"""The parts of testing/process_play.py: nodes as real processes, targets.
 
     fleet = Fleet(net=63, nodes=4, program=PROGRAM, root=ROOT, directory=logs)
     fleet.start()                              # a store, targets and nodes
-    caller = Caller(fleet, fleet.nodes[0], random.Random(1))
-    asyncio.create_task(caller.run(until))
     fleet.nodes[0].stop()                      # SIGTERM, SIGKILL after the grace
 
-Targets and callers record what they saw; play_verdict.py compares the two sides.
+Targets and callers (play_callers.py) record what they saw; play_verdict.py compares them.
 """
 import asyncio
 import dataclasses
@@ -33,10 +31,8 @@
 MAX_CONNECTIONS = 120
 ZONES = ("qc-east-a", "qc-east-b", "qc-east-c")
 TARGET_PORT, READY_PORT, INBOUND_PORT, OUTBOUND_PORT = 8145, 8141, 8146, 8147
-HEAD_LIMIT = 65536
 CONNECT_LIMIT_S = 1.0
 POLL_S = 0.02
-READ_LIMIT_S = 12.0
 
 
 @dataclasses.dataclass
@@ -354,7 +350,10 @@
         return self.boots[-1]
 
     def boot_at(self, moment):
-        return next((b for b in reversed(self.boots) if b.started <= moment), None)
+        """The process that held the ports at `moment`."""
+        begun = [b for b in self.boots if b.started <= moment]
+        return next((b for b in begun if b.exited is None or b.exited >= moment),
+                    begun[-1] if begun else None)
 
     async def stop(self, signals=(0.0,)):
         """A planned stop: SIGTERM at each of `signals` (seconds), SIGKILL after the grace."""
@@ -402,6 +401,7 @@
         self.directory = pathlib.Path(directory)
         self.records = {}
         self.requests = []
+        self.odd_identities = set()  # of peers that don't wait for an answer
         self.version = 4
         self.max_lag_s = 0.0
         run = tomllib.loads((self.root / "deploy/system.toml").read_text("utf-8"))
@@ -412,12 +412,13 @@
         self.nodes = [Node(self, number + 1) for number in range(nodes)]
 
     def put_configuration(self, extra_routes=0):
-        def route(name, prefix, kind):
+        def route(name, prefix, kind, limit_ms=5000):
             return {"entryKind": "routes", "metadata": {"name": name},
                     "spec": {"host": "mesh.example", "prefix": prefix, "kind": kind,
-                             "timeoutMs": 5000, "targetLatencyMs": 300, "priority": 1,
+                             "timeoutMs": limit_ms, "targetLatencyMs": 300, "priority": 1,
                              "service": "svc", "maxAttempts": 2}}
         resources = [route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"),
+                     route("long", "/long/", "unsafe", 10_000),
                      *(route(f"x{n}", f"/x{n}/", "safe") for n in range(extra_routes)),
                      {"entryKind": "services", "metadata": {"name": "svc"},
                       "spec": {"healthPath": "/health", "maxConnections": MAX_CONNECTIONS}},
@@ -466,115 +467,3 @@
                 boot.process.wait()
             node.target.close()
         self.store.close()
-
-
-class Caller:
-    """Sends requests on a kept connection to one node, and opens the next one when it ends."""
-
-    MAX_REQUESTS = 5000
-
-    def __init__(self, fleet, node, random, name):
-        self.fleet = fleet
-        self.node = node
-        self.random = random
-        self.name = name
-        self.count = 0
-        self.pause_s = 0.0  # after an answer that asks to come back later
-
-    async def run(self, until):
-        wire = None
-        while time.monotonic() < until and self.count < self.MAX_REQUESTS:
-            if wire is None:
-                try:
-                    wire = await connect(self.node.address, OUTBOUND_PORT)
-                except (OSError, asyncio.TimeoutError):
-                    await asyncio.sleep(0.05)
-                    continue
-            if not await self._exchange(wire):
-                wire.close()
-                wire = None
-            await asyncio.sleep(self.pause_s + self.random.choice((0, 0, 0.01, 0.1)))
-            self.pause_s = 0.0
-        if wire is not None:
-            wire.close()
-
-    def _make(self, kind, behind):
-        self.count += 1
-        random = self.random
-        body = b"" if kind == "safe" else random.randbytes(random.choice((10, 3000, 200_000)))
-        request = Sent(f"{self.name}-{self.count}", self.node, kind,
-                       random.choice((5, 30, 100, 300, 700, 1500)),
-                       random.choice((800, 2000, 4500)), digest(body), behind)
-        self.fleet.requests.append(request)
-        return request, body
-
-    def _head(self, request, framing):
-        method = "GET" if request.kind == "safe" else "POST"
-        return "\r\n".join([
-            f"{method} /{request.kind}/{request.identity} HTTP/1.1", "Host: mesh.example",
-            f"Pomelohead-Attempt-Id: {request.identity}",
-            f"Pomelohead-Deadline-Ms: {request.deadline_ms}", f"X-Work-Ms: {request.work_ms}",
-            f"X-Answer-Bytes: {self.random.choice((0, 0, 2000, 300_000))}", *framing, "",
-            ""]).encode()
-
-    async def _exchange(self, wire):
-        """Sends one request or a few at once; whether the connection may be used again."""
-        is_safe = self.random.random() < 0.6
-        group = 1 if not is_safe or self.random.random() < 0.7 else self.random.randint(2, 4)
-        made = [self._make("safe" if is_safe else "unsafe", index > 0) for index in range(group)]
-        sending = asyncio.create_task(self._send(wire, made))
-        try:
-            for request, _ in made:
-                if not await self._receive(wire, request):
-                    return False
-            return sending.done()
-        finally:
-            sending.cancel()
-            now = time.monotonic()
-            for request, _ in made:
-                if request.ended is None:
-                    request.ended = now
-                    request.how = request.how or wire.ended or "behind a closing answer"
-
-    async def _send(self, wire, made):
-        chunked = self.random.random() < 0.4
-        slow_s = self.random.choice((0, 0, 0, 0.05, 0.3))
-        try:
-            for request, body in made:
-                request.begun = time.monotonic()
-                if request.kind == "safe":
-                    await wire.write(self._head(request, []))
-                else:
-                    framing = "Transfer-Encoding: chunked" if chunked else \
-                        f"Content-Length: {len(body)}"
-                    await wire.write(self._head(request, [framing]))
-                    step = max(1, len(body) // 4)
-                    for at in range(0, len(body), step):
-                        if slow_s:
-                            await asyncio.sleep(slow_s)
-                        piece = body[at:at + step]
-                        await wire.write(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
-                    if chunked:
-                        await wire.write(b"0\r\n\r\n")
-                request.sent = time.monotonic()
-        except ConnectionError:
-            pass
-
-    async def _receive(self, wire, request):
-        try:
-            async with asyncio.timeout(READ_LIMIT_S):
-                first, fields, body = await take_message(wire)
-                while first.split(" ")[1] == "100":
-                    first, fields, body = await take_message(wire)
-        except (ConnectionError, TimeoutError) as error:
-            request.partial = len(wire.buffer) > 0
-            request.how = str(error) or "no answer in time"
-            request.ended = time.monotonic()
-            return False
-        request.ended = time.monotonic()
-        request.status = int(first.split(" ")[1])
-        request.has_seal = fields.get("pomelohead-response-seal") == digest(body)
-        request.answer = body
-        if request.status == 503:
-            self.pause_s = self.random.choice((0.0, 0.1, 0.3, 1.0))
-        return fields.get("connection", "").lower() != "close"
--- a/testing/play_verdict.py
+++ b/testing/play_verdict.py
@@ -42,14 +42,16 @@
 
 def unanswered(fleet, request, arrivals):
     """Why a request has no answer: a word that starts with "lost" if a promise was broken."""
+    if request.sent is None or request.sent > request.ended:
+        return "cut: not sent whole"
     boot = request.node.boot_at(request.begun)
     if boot.killed is not None and request.ended >= boot.killed:
         return "cut: entry killed"
-    if request.sent is None or request.sent > request.ended:
-        return "cut: not sent whole"
     if request.ended - request.begun >= request.deadline_ms / 1000 - BUDGET_SLACK_S:
         return "cut: budget over"
-    owners = [(fleet.nodes[a.target - 1], a) for a in arrivals]
+    owners = [fleet.nodes[a.target - 1].boot_at(a.arrived) for a in arrivals]
+    if any(b.killed is not None and request.ended >= b.killed for b in owners):
+        return "cut: owner killed"
     if in_tail(boot, request, arrivals):
         return "cut: last sixth of the grace"
     if not arrivals:
@@ -59,8 +61,7 @@
             return "cut: crossed the close"
         return "lost: read, not passed on"
     phase = "entry stopping" if is_stopping(boot, request.ended) else \
-        "owner stopping" if any(is_stopping(n.boot_at(a.arrived), request.ended)
-                                for n, a in owners) else "calm"
+        "owner stopping" if any(is_stopping(b, request.ended) for b in owners) else "calm"
     return f"lost: passed on, {phase}"
 
 
@@ -92,7 +93,7 @@
         expected = f" {request.identity} {request.body} ".encode()
         if request.status == 200 and (not request.has_seal or expected not in request.answer):
             found.append("mixed: not the answer to this request")
-        if request.kind == "unsafe" and request.status in NOT_RUN and runs:
+        if request.kind != "safe" and request.status in NOT_RUN and runs:
             found.append(f"refused: {request.status}, and has run")
         boot = request.node.boot_at(request.begun)
         if (not request.has_seal and is_stopping(boot, request.ended)
@@ -101,7 +102,7 @@
                 and any(a.broken_off and not fleet.nodes[a.target - 1].boot_at(a.began).killed
                         for a in runs) and not in_tail(boot, request, arrivals)):
             found.append(f"lost: broken off with {request.status}")
-    if request.kind == "unsafe" and len(runs) > 1:
+    if request.kind != "safe" and len(runs) > 1:
         found.append("twice")
     if any(a.body != request.body for a in arrivals):
         found.append("unasked: other body")
@@ -131,7 +132,7 @@
 
 def judge(fleet, epoch):
     verdict = Verdict(collections.Counter(), [])
-    known = {request.identity for request in fleet.requests}
+    known = {request.identity for request in fleet.requests} | fleet.odd_identities
     for request in fleet.requests:
         judge_request(fleet, request, fleet.records.get(request.identity, []), epoch, verdict)
     verdict.broken += [f"unasked: {identity}" for identity in fleet.records
--- a/testing/process_play.py
+++ b/testing/process_play.py
@@ -10,16 +10,20 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import play_verdict  # noqa: E402
-from play_fleet import GRACE_S, Caller, Fleet  # noqa: E402
+from play_callers import Caller, play_odd_peer  # noqa: E402
+from play_fleet import GRACE_S, Fleet  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MIX = ("stops",)
+BURST_CALLERS = 60
+MAX_PEERS = 2000
 CALLERS = 30  # of each node: more than the slots of its target
 OVERLAPS_S = (0.0, 0.0, 0.05, 0.5, 1.5, 3.0, 5.0)
 SERIES_S = ((0.0,), (0.0,), (0.0, 0.01), (0.0, 1.0, 2.5, 4.0))
@@ -40,7 +44,71 @@
         await asyncio.sleep(plan.choice((0.1, 0.5, 1.0)))
 
 
-ACTIONS = {"stops": play_stops}
+async def play_kills(fleet, plan, until):
+    """SIGKILL of one node at a time, which starts again at once."""
+    while time.monotonic() < until:
+        await asyncio.sleep(plan.choice((2.0, 4.0)))
+        node = plan.choice(fleet.nodes)
+        if node.boot.exited is None and node.boot.terminated is None:
+            node.boot.signal(signal.SIGKILL)
+            while node.boot.exited is None:
+                await asyncio.sleep(0.01)
+            node.start()
+
+
+async def play_starts(fleet, plan, until):
+    """A node starts again on the same ports while the former one closes."""
+    while time.monotonic() < until:
+        await asyncio.sleep(plan.choice((0.5, 2.0)))
+        node = plan.choice(fleet.nodes)
+        if node.boot.exited is None and node.boot.terminated is None:
+            stopping = asyncio.create_task(node.stop())
+            await asyncio.sleep(plan.choice((0.0, 0.1, 1.0, 2.9, 3.2)))
+            node.start()
+            await stopping
+
+
+async def play_loads(fleet, plan, until):
+    """Short bursts of far more callers than slots and queues hold."""
+    while time.monotonic() < until:
+        await asyncio.sleep(plan.choice((1.0, 3.0)))
+        end = time.monotonic() + plan.choice((0.3, 1.0))
+        name = f"b{time.monotonic_ns()}"
+        callers = [Caller(fleet, node, random.Random(plan.random()), f"{name}.{node.number}.{index}")
+                   for node in fleet.nodes for index in range(BURST_CALLERS)]
+        await asyncio.gather(*(caller.run(end) for caller in callers))
+
+
+async def play_peers(fleet, plan, until):
+    """Peers that don't keep to the protocol."""
+    peers = set()
+    for number in range(MAX_PEERS):
+        if time.monotonic() >= until:
+            break
+        peer = asyncio.create_task(play_odd_peer(fleet, plan.choice(fleet.nodes),
+                                                 random.Random(plan.random()), f"odd-{number}"))
+        peers.add(peer)
+        peer.add_done_callback(peers.discard)
+        await asyncio.sleep(plan.choice((0.01, 0.05, 0.1)))
+    await asyncio.gather(*peers)
+
+
+async def play_settings(fleet, plan, until):
+    """Versions of the configuration, and settings files that change with and without SIGHUP."""
+    while time.monotonic() < until:
+        await asyncio.sleep(plan.choice((0.0, 0.05, 0.3, 1.0)))
+        node = plan.choice(fleet.nodes)
+        action = plan.choice(("version", "settings", "signal", "both"))
+        if action == "version":
+            fleet.put_configuration(plan.choice((0, 3, 200)))
+        if action in ("settings", "both"):
+            node.write_settings(plan.choice(("caller", "other")))
+        if action in ("signal", "both") and await node.is_ready():
+            node.boot.signal(signal.SIGHUP)
+
+
+ACTIONS = {"stops": play_stops, "kills": play_kills, "starts": play_starts, "loads": play_loads,
+           "peers": play_peers, "settings": play_settings}
 
 
 async def play(options, directory):
@@ -51,7 +119,8 @@
     try:
         await fleet.start()
         until = time.monotonic() + options.seconds
-        callers = [Caller(fleet, node, random.Random(plan.random()), f"c{node.number}.{index}")
+        callers = [Caller(fleet, node, random.Random(plan.random()), f"c{node.number}.{index}",
+                          "loads" in options.mix)
                    for node in fleet.nodes for index in range(options.callers)]
         calls = [asyncio.create_task(c.run(until + GRACE_S)) for c in callers]
         acts = [ACTIONS[name](fleet, random.Random(plan.random()), until)
