The time limit of a stop holds until the process ends

Cause: the limit applied only while requests were in flight. Requests are counted from the end of their heads on; with none in flight the stop was `stopped`, and node::wait() waited without a limit for connections that were still being read.

Change: bound_over applies in each phase of a stop and calls a hook, in which the node aborts its connections; the line stop_cut says what was left.

The test failed with the hook and the old state machine: check cuts == 1 has failed [0 != 1]

--- a/pomelohead/lifecycle/lifecycle_test.cc
+++ b/pomelohead/lifecycle/lifecycle_test.cc
@@ -118,6 +118,28 @@
     }
 }
 
+// Guards against a process that outlasts its grace while a connection is still read.
+BOOST_AUTO_TEST_CASE(time_limit_of_a_stop_holds_after_the_last_request_in_flight)
+{
+    for (const bool is_idle : {true, false}) {
+        testing::manual_timer_service timers;
+        int cuts = 0;
+        graceful_shutdown stop(timers, {.m_lame_duck = 3s, .m_bound = 6s}, {}, [&] { ++cuts; });
+        stop.request_began();
+        stop.begin();
+        timers.advance(4s);
+        if (is_idle) {
+            stop.request_ended();
+            BOOST_TEST((stop.phase() == phase::stopped));
+        }
+        timers.advance(2s - 1ms);
+        BOOST_TEST(cuts == 0);
+        timers.advance(1ms);
+        BOOST_TEST(cuts == 1);
+        BOOST_TEST((stop.phase() == phase::stopped));
+    }
+}
+
 // Guards against requests that are taken until a stop cuts them, where its time limit is no longer
 // than the lame-duck period.
 BOOST_AUTO_TEST_CASE(half_of_a_bounded_stop_is_left_for_requests_in_flight)
--- a/pomelohead/lifecycle/shutdown.cc
+++ b/pomelohead/lifecycle/shutdown.cc
@@ -34,10 +34,9 @@
         }
         break;
     case shutdown_event::bound_over:
-        if (state.m_phase == shutdown_phase::announcing ||
-            state.m_phase == shutdown_phase::finishing) {
+        if (state.m_phase != shutdown_phase::serving) {
             next.m_phase = shutdown_phase::stopped;
-            next.m_cut = state.m_in_flight > 0;
+            next.m_cut = true;
         }
         break;
     case shutdown_event::request_began:
@@ -69,8 +68,10 @@
 }
 
 graceful_shutdown::graceful_shutdown(timer_service& timers, shutdown_options options,
-                                     std::function<void(shutdown_phase)> on_phase)
-    : m_timers(timers), m_options(options), m_on_phase(std::move(on_phase))
+                                     std::function<void(shutdown_phase)> on_phase,
+                                     std::function<void()> on_cut)
+    : m_timers(timers), m_options(options), m_on_phase(std::move(on_phase)),
+      m_on_cut(std::move(on_cut))
 {
 }
 
@@ -99,15 +100,17 @@
 
 void graceful_shutdown::handle(shutdown_event event)
 {
-    const shutdown_phase before = phase();
+    const shutdown_state before = m_state;
     m_state = step(m_state, event);
-    if (phase() == before || !m_on_phase) {
-        return;
+    if (phase() != before.m_phase && m_on_phase) {
+        if (before.m_phase == shutdown_phase::announcing && phase() == shutdown_phase::stopped) {
+            m_on_phase(shutdown_phase::finishing); // an idle node skips this phase's wait
+        }
+        m_on_phase(phase());
     }
-    if (before == shutdown_phase::announcing && phase() == shutdown_phase::stopped) {
-        m_on_phase(shutdown_phase::finishing); // an idle node skips this phase's wait
+    if (m_state.m_cut && !before.m_cut && m_on_cut) {
+        m_on_cut();
     }
-    m_on_phase(phase());
 }
 
 } // namespace pomelohead::lifecycle
--- a/pomelohead/lifecycle/shutdown.h
+++ b/pomelohead/lifecycle/shutdown.h
@@ -7,7 +7,8 @@
 // announces its departure to its peers. During the lame-duck period callers are still
 // accepted (their requests go to other owners), and "Connection: close" on responses
 // makes them reconnect elsewhere. Then the listener closes, and all requests in flight
-// finish, however long they take, unless the operator has set a time limit. With a time limit
+// finish, however long they take, unless the operator has set a time limit. It also holds once no
+// request is in flight, as a connection may still be read: on_cut is called then. With a time limit
 // the lame-duck period takes at most half of it, and requests that come during the stop have to
 // end a little before it is over, so that callers get their final answers.
 //
@@ -44,7 +45,7 @@
 struct shutdown_state {
     shutdown_phase m_phase = shutdown_phase::serving;
     std::size_t m_in_flight = 0; ///< requests that this node is handling as entry or owner
-    bool m_cut = false;          ///< the time limit expired with requests in flight
+    bool m_cut = false;          ///< the time limit has expired
 
     bool operator==(const shutdown_state&) const = default;
 };
@@ -67,12 +68,14 @@
 /// written and sent.
 inline constexpr duration final_answer_time = std::chrono::milliseconds(200);
 
-/// Runs the state machine on a timer_service and calls a hook on each phase change.
+/// Runs the state machine on a timer_service and calls a hook on each phase change, and one when
+/// the time limit expires.
 class graceful_shutdown {
 public:
-    /// `timers` must outlive the object. `on_phase` may be empty.
+    /// `timers` must outlive the object. The hooks may be empty.
     graceful_shutdown(timer_service& timers, shutdown_options options,
-                      std::function<void(shutdown_phase)> on_phase);
+                      std::function<void(shutdown_phase)> on_phase,
+                      std::function<void()> on_cut = {});
 
     /// Begins the shutdown. Idempotent.
     void begin();
@@ -94,6 +97,7 @@
     timer_service& m_timers;
     shutdown_options m_options;
     std::function<void(shutdown_phase)> m_on_phase;
+    std::function<void()> m_on_cut;
     shutdown_state m_state;
     std::optional<time_point> m_cut_at; // end of a stop with a time limit
     timer_subscription m_lame_duck;
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -42,8 +42,10 @@
       m_distributor(distribution_options_of(m_settings), m_timers, io), m_members([this] {
           return m_catalog ? std::vector<membership::member>{} : m_distributor.members();
       }),
-      m_shutdown(m_timers, shutdown_options_of(m_settings),
-                 [this](lifecycle::shutdown_phase phase) { on_phase(phase); }),
+      m_shutdown(
+          m_timers, shutdown_options_of(m_settings),
+          [this](lifecycle::shutdown_phase phase) { on_phase(phase); },
+          [this] { cut_connections(); }),
       m_owner(io, m_timers, m_stats, owner_options_of(m_settings, parts.m_dialect, m_incarnation),
               {.m_config = [this] { return current(); },
                .m_is_draining = [this](const std::string& target) { return is_draining(target); },
@@ -259,15 +261,21 @@
         m_owner.server().close_listener();
         return;
     case lifecycle::shutdown_phase::stopped:
-        if (m_shutdown.state().m_cut) {
-            m_entry.server().abort();
-            m_owner.server().abort();
-        }
         m_stopped.set();
         return;
     }
 }
 
+void node::cut_connections()
+{
+    log_event(log_level::warning, "stop_cut",
+              {{"in_flight", m_shutdown.state().m_in_flight},
+               {"entry_connections", m_entry.server().connections()},
+               {"owner_connections", m_owner.server().connections()}});
+    m_entry.server().abort();
+    m_owner.server().abort();
+}
+
 void node::wait()
 {
     m_stopped.wait();
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -70,6 +70,7 @@
 
 private:
     void on_phase(lifecycle::shutdown_phase phase);
+    void cut_connections();
     void on_configuration(const config::snapshot_ptr& config);
     [[nodiscard]] discovery::open_part_fn opener_of(const settings::source_settings& where);
     void add_gauges();
