A node that stops reads what is behind its last answer, so that no answer is reset

Cause: linger() read nothing once the listener was closed. The node then closes connections on which clients have sent bytes behind the request that it answers with Connection: close; closing a socket with unread bytes resets it and drops what is still to be sent.

Change: linger() reads on also after the listener has closed, for a second at most; the limit of the stop ends it.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -331,7 +331,7 @@
     c.m_stream.expires_after(linger_timeout);
     std::size_t remaining = max_linger_bytes;
     std::array<char, 4096> ignored{};
-    while (!error && remaining > 0 && !m_listener_closed) {
+    while (!error && remaining > 0) {
         std::size_t size = 0;
         std::tie(error, size) = await<error_code, std::size_t>([&](auto handler) {
             c.m_stream.async_read_some(boost::asio::buffer(ignored), std::move(handler));
