Notify queued requests in a loop, not from inside each other

Callers saw a node end with SIGSEGV when it stopped while a long queue waited for one target: no request of the node got an answer.

Cause: a queued request that is granted its slot during a stop is refused and releases the slot at once. owned_target::release() then called the next request's callback from inside the first one's, and so on: one set of frames for each queued request, on a fiber's stack of 128 KiB. The same chain began in update() (a target that gets a slot), and in process_queue() where requests expire while others are refused.

Grants and refusals are now entered in a list, and one loop in process_queue() calls them one after another. A call from inside a callback adds to the list and returns, so the stack's depth doesn't depend on the queue's length. An entry names its request, and is void if that request has been withdrawn.

--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -26,7 +26,7 @@
     m_target = target;
     m_queue.set_rules(rules);
     if (target.m_slots != old_slots) {
-        notify_granted(m_queue.set_limit(target.m_slots, m_timers.now()));
+        add_grants(m_queue.set_limit(target.m_slots, m_timers.now()));
     }
     process_queue();
 }
@@ -68,7 +68,7 @@
     if (m_isolated_id == id) {
         m_isolated_id = 0;
     }
-    notify_granted(m_queue.finish(id, m_timers.now(), how));
+    add_grants(m_queue.finish(id, m_timers.now(), how));
     process_queue();
 }
 
@@ -88,38 +88,63 @@
     process_queue();
 }
 
-void owned_target::notify_granted(const std::vector<std::uint64_t>& ids)
+void owned_target::add_grants(const std::vector<std::uint64_t>& ids)
 {
     for (const std::uint64_t id : ids) {
-        const auto it = m_queued_callbacks.find(id);
-        if (it == m_queued_callbacks.end()) {
-            continue;
+        m_notifications.push_back({id, std::nullopt});
+    }
+}
+
+void owned_target::add_refusals(const std::vector<std::uint64_t>& ids)
+{
+    for (const std::uint64_t id : ids) {
+        if (m_isolated_id == id) {
+            m_isolated_id = 0;
         }
-        const slot_callbacks callbacks = std::move(it->second);
-        m_queued_callbacks.erase(it);
-        callbacks.m_granted();
+        m_notifications.push_back({id, m_queue.retry_after(id)});
+    }
+}
+
+void owned_target::notify_first()
+{
+    const notification first = m_notifications.front();
+    m_notifications.pop_front();
+    const auto callbacks = m_queued_callbacks.extract(first.m_id);
+    if (!callbacks) {
+        return;
+    }
+    if (first.m_retry_after) {
+        callbacks.mapped().m_refused(*first.m_retry_after);
+    }
+    else {
+        callbacks.mapped().m_granted();
     }
 }
 
+// A callback may release its slot at once, which grants the next request. The call for that one is
+// left to the loop that is running: nested calls would use a fiber's stack for each queued request.
 void owned_target::process_queue()
 {
-    const time_point now = m_timers.now();
-    for (const std::uint64_t id : m_queue.expire(now)) {
-        const auto it = m_queued_callbacks.find(id);
-        if (it == m_queued_callbacks.end()) {
+    m_is_queue_changed = true;
+    if (m_is_processing) {
+        return;
+    }
+    const auto end_processing = [](bool* is_processing) { *is_processing = false; };
+    m_is_processing = true;
+    const std::unique_ptr<bool, decltype(end_processing)> guard(&m_is_processing, end_processing);
+    while (m_is_queue_changed || !m_notifications.empty()) {
+        if (!m_notifications.empty()) {
+            notify_first();
             continue;
         }
-        const slot_callbacks callbacks = std::move(it->second);
-        m_queued_callbacks.erase(it);
-        if (m_isolated_id == id) {
-            m_isolated_id = 0;
-        }
-        callbacks.m_refused(m_queue.retry_after(id));
+        m_is_queue_changed = false;
+        const time_point now = m_timers.now();
+        add_refusals(m_queue.expire(now));
+        add_grants(m_queue.due_starts(now));
     }
-    notify_granted(m_queue.due_starts(now));
     m_queue_timer.cancel();
     if (const auto next = m_queue.next_deadline()) {
-        const duration delay = std::max<duration>(*next - now, milliseconds(1));
+        const duration delay = std::max<duration>(*next - m_timers.now(), milliseconds(1));
         m_queue_timer = m_timers.after(delay, [this] { process_queue(); });
     }
 }
--- a/pomelohead/forwarding/owned_target.h
+++ b/pomelohead/forwarding/owned_target.h
@@ -15,12 +15,14 @@
 #include "pomelohead/outcome/quarantine.h"
 #include "pomelohead/routing/leaving_mark.h"
 
+#include <deque>
 #include <map>
+#include <optional>
 
 namespace pomelohead::forwarding {
 
-/// Callbacks of a queued request. Called from the event loop or from another request's fiber; must
-/// not block.
+/// Callbacks of a queued request. Called from the event loop or from another request's fiber, one
+/// after another; must not block. They may call the target.
 struct slot_callbacks {
     std::function<void()> m_granted;
     std::function<void(milliseconds retry_after)> m_refused;
@@ -93,7 +95,14 @@
         std::string m_fingerprint;
     };
 
-    void notify_granted(const std::vector<std::uint64_t>& ids);
+    struct notification {
+        std::uint64_t m_id = 0;
+        std::optional<milliseconds> m_retry_after; ///< of a refused request
+    };
+
+    void add_grants(const std::vector<std::uint64_t>& ids);
+    void add_refusals(const std::vector<std::uint64_t>& ids);
+    void notify_first();
     void process_queue();
 
     boost::asio::io_context& m_io;
@@ -108,6 +117,9 @@
     std::uint64_t m_isolated_id = 0; ///< the request that runs in isolation; 0: none
     std::map<std::uint64_t, slot_callbacks> m_queued_callbacks;
     std::map<std::uint64_t, in_flight_request> m_in_flight;
+    std::deque<notification> m_notifications; ///< to requests that were granted or refused
+    bool m_is_queue_changed = false;          ///< since process_queue() has examined it
+    bool m_is_processing = false;
     timer_subscription m_queue_timer;
 };
 
