Signals during the start neither end a node nor get lost

Callers saw: SIGHUP in the first 10 ms or so ends the process with -1, SIGTERM and SIGINT with -15 and -2 in place of a graceful end with code 0.

Cause: the handlers were set after the settings had been read and all ports opened; until then these signals had their default effect.

The new tests hold a node at its settings file with a pipe, so that they know where it stands, and printed before the change test_signals_during_the_start_... [SIGTERM]: AssertionError: -15 != 0 test_reloads_at_any_moment_of_the_start_...: AssertionError: -1 != 0

Change: main() holds the signals back before anything else; they are released once their handlers are in place, which is before the ports are opened, and their sets keep what came before somebody waits for it. Signals that the parent process had held back are released as well.

The time in which the loader maps the libraries remains: no code of the program runs in it.

--- a/pomelohead/cli/main.cc
+++ b/pomelohead/cli/main.cc
@@ -8,8 +8,13 @@
 
 #include <CLI/CLI.hpp>
 
+#include <string_view>
+
 int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "node") {
+        pomelohead::cli::hold_signals();
+    }
     CLI::App app{"Configuration distribution for a service mesh"};
     app.set_version_flag("--version", std::string("pomelohead ") + POMELOHEAD_VERSION);
     app.require_subcommand(1);
--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -12,6 +12,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -21,6 +22,26 @@
 
 constexpr std::size_t max_settings_bytes = 1'000'000;
 
+constexpr std::array stop_signals = {SIGTERM, SIGINT};
+constexpr int reload_signal = SIGHUP;
+
+sigset_t handled_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, reload_signal);
+    for (const int signal : stop_signals) {
+        sigaddset(&signals, signal);
+    }
+    return signals;
+}
+
+void release_signals()
+{
+    const sigset_t signals = handled_signals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 struct node_arguments {
     std::string m_settings;
     bool m_on_platform = false;
@@ -93,9 +114,9 @@
 // without a signal. A faulty file changes nothing.
 class settings_watch {
 public:
-    settings_watch(boost::asio::io_context& io, node::node& n, const node_arguments& arguments,
+    settings_watch(boost::asio::signal_set& signals, node::node& n, const node_arguments& arguments,
                    std::string path)
-        : m_node(n), m_arguments(arguments), m_path(std::move(path)), m_signals(io, SIGHUP),
+        : m_node(n), m_arguments(arguments), m_path(std::move(path)), m_signals(signals),
           m_timer(n.timers().every(reload_period, [this] { reload(); }))
     {
         wait_for_signal();
@@ -143,7 +164,7 @@
     const node_arguments& m_arguments;
     std::string m_path;
     std::string m_last_text;
-    boost::asio::signal_set m_signals;
+    boost::asio::signal_set& m_signals;
     timer_subscription m_timer;
 };
 
@@ -155,6 +176,9 @@
     init_logging(level_of(settings.m_log_level), settings.m_node);
     log_ignored(faults);
     boost::asio::io_context& io = install_fiber_scheduler();
+    boost::asio::signal_set stops(io, stop_signals[0], stop_signals[1]);
+    boost::asio::signal_set reload_signals(io, reload_signal);
+    release_signals();
     node::node n(std::move(settings), io, parts);
     reason why;
     if (!n.start(why)) {
@@ -162,14 +186,13 @@
         // Half-started parts have fibers that only a whole start could stop in order.
         std::_Exit(exit_found);
     }
-    boost::asio::signal_set stops(io, SIGTERM, SIGINT);
     stops.async_wait([&](boost::system::error_code error, int signal) {
         if (!error) {
             log_event(log_level::info, "stop_asked", {{"signal", signal}});
             n.stop();
         }
     });
-    settings_watch reloads(io, n, arguments, path);
+    settings_watch reloads(reload_signals, n, arguments, path);
     n.wait();
     stops.cancel();
     reloads.stop();
@@ -214,6 +237,12 @@
 
 } // namespace
 
+void hold_signals()
+{
+    const sigset_t signals = handled_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void add_node_command(CLI::App& app, int& exit_code)
 {
     auto* command = app.add_subcommand("node", "Run the node of this host until it is stopped");
--- /dev/null
+++ b/testing/starts_test.py
@@ -0,0 +1,85 @@
+"""Starts of real nodes: signals that arrive early."""
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import tempfile
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROGRAM = ROOT / "build" / "pomelohead"
+ADDRESS = "127.96.0.1"
+STORE = "127.96.0.9:8142"  # nothing listens there: a node starts without its store
+LIMIT_S = 20  # bounds a hang; no check depends on how long a step takes
+SETTINGS = (f"node=n-1\nzone=bala\nregion=gwynedd\nip={ADDRESS}\nlisten.inbound={ADDRESS}:8146\n"
+            f"listen.outbound={ADDRESS}:8147\nlisten.ready={ADDRESS}:8141\n"
+            f"internalPorts=7380,7395\nservice=caller\nplatform.addr={STORE}\nbounds.graceS=0.5\n")
+
+
+class StartsTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory(prefix="pomelohead-")
+        self.addCleanup(directory.cleanup)
+        self.settings = pathlib.Path(directory.name) / "node.conf"
+        self.log = pathlib.Path(directory.name) / "node.log"
+
+    def start_node(self):
+        with open(self.log, "wb") as log:
+            node = subprocess.Popen(
+                [str(PROGRAM), "node", "--platform", "--policy-file",
+                 str(ROOT / "deploy" / "policy.json")], stdout=log, stderr=log,
+                env=dict(os.environ, POMELOHEAD_CONFIG=str(self.settings)))
+        self.addCleanup(node.wait)
+        self.addCleanup(node.kill)
+        return node
+
+    def events(self):
+        lines = self.log.read_text("utf-8", "replace").splitlines()
+        return [json.loads(line)["event"] for line in lines if line.startswith("{")]
+
+    def wait(self, condition, what):
+        end = time.monotonic() + LIMIT_S
+        while not condition():
+            if time.monotonic() > end:
+                self.fail(f"timed out after {LIMIT_S} s: {what}\n{self.log.read_text()[-2000:]}")
+            time.sleep(0.01)
+
+    def start_node_that_reads_its_settings(self):
+        """A node that has opened its settings file, and the file's other end."""
+        self.settings.unlink(missing_ok=True)
+        os.mkfifo(self.settings)
+        node = self.start_node()
+        pipe = open(self.settings, "wb")  # waits for the node
+        self.settings.unlink()
+        self.settings.write_text(SETTINGS, "utf-8")
+        return node, pipe
+
+    def test_signals_during_the_start_do_not_end_the_process(self):
+        for signals in ("SIGTERM", "SIGINT", "SIGHUP SIGTERM", "SIGHUP SIGHUP SIGINT"):
+            with self.subTest(signals):
+                node, pipe = self.start_node_that_reads_its_settings()
+                for name in signals.split():
+                    node.send_signal(signal.Signals[name])
+                with pipe:
+                    pipe.write(SETTINGS.encode())
+                self.assertEqual(node.wait(LIMIT_S), 0)
+                self.assertEqual("reload_asked" in self.events(), "SIGHUP" in signals)
+
+    def test_reloads_at_any_moment_of_the_start_do_not_end_the_process(self):
+        draw = random.Random(39)
+        for _ in range(10):
+            node, pipe = self.start_node_that_reads_its_settings()
+            with pipe:
+                pipe.write(SETTINGS.encode())
+            for _ in range(10):
+                node.send_signal(signal.SIGHUP)
+                time.sleep(draw.uniform(0, 0.005))
+            node.send_signal(signal.SIGTERM)
+            self.assertEqual(node.wait(LIMIT_S), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
