A node waits for ports that the process before it still holds

Callers saw: a node that is started again while the one before it still closes ends at once with code 1, on each of its five ports, and is not there until somebody starts it once more.

Cause: node::start() fails on the first port that cannot be bound, and the command took that for the end.

Evidence: before the change testing/starts_test.py printed, for each of the ports 8141, 8146, 8147, 7380 and 7381, FAIL: test_ports_held_by_the_process_before_are_waited_for (asks_stop=False) AssertionError: False != True (it had not started) FAIL: ... (asks_stop=True) AssertionError: 1 != 0 and for test_port_that_stays_held_is_named_at_the_end Lists differ: [] != ['port_held', 'start_failed']

Change: before it builds the node, the command binds each port without listening until all can be bound, for as long as a stop may take and a second more (10 s where stops have no limit). Other errors than a held port or an address that is not there yet end the start at once, as before, and node::start() itself still fails at once. port_held names port and reason, start_failed the reason at the end; a stop asked meanwhile ends the process with 0.

Why it works: a listening port that another process holds cannot be bound, and a port that is bound and not listening refuses callers, so that none is accepted and lost in between.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -5,6 +5,7 @@
 
 #include "pomelohead/cli/console.h"
 #include "pomelohead/node/node.h"
+#include "pomelohead/node/port_wait.h"
 #include "pomelohead/runtime/heap.h"
 #include "pomelohead/settings/policy_knobs.h"
 #include "pomelohead/telemetry/log.h"
@@ -179,19 +180,36 @@
     boost::asio::signal_set stops(io, stop_signals[0], stop_signals[1]);
     boost::asio::signal_set reload_signals(io, reload_signal);
     release_signals();
-    node::node n(std::move(settings), io, parts);
-    reason why;
-    if (!n.start(why)) {
-        std::cerr << "pomelohead node: " << why.m_text << '\n';
-        // Half-started parts have fibers that only a whole start could stop in order.
-        std::_Exit(exit_found);
-    }
+    node::node* running = nullptr;
+    bool is_stop_asked = false;
     stops.async_wait([&](boost::system::error_code error, int signal) {
         if (!error) {
             log_event(log_level::info, "stop_asked", {{"signal", signal}});
-            n.stop();
+            is_stop_asked = true;
+            if (running != nullptr) {
+                running->stop();
+            }
         }
     });
+    reason why;
+    const node::port_wait_result ports = node::wait_for_ports(
+        io, node::ports_of(settings), node::port_wait_limit_of(settings),
+        [&is_stop_asked] { return is_stop_asked; }, why);
+    if (ports == node::port_wait_result::cancelled) {
+        log_event(log_level::info, "stopped");
+        return exit_good;
+    }
+    node::node n(std::move(settings), io, parts);
+    if (ports == node::port_wait_result::held || !n.start(why)) {
+        log_event(log_level::error, "start_failed", {{"why", why.m_text}});
+        std::cerr << "pomelohead node: " << why.m_text << '\n';
+        // Half-started parts have fibers that only a whole start could stop in order.
+        std::_Exit(exit_found);
+    }
+    running = &n;
+    if (is_stop_asked) {
+        n.stop();
+    }
     settings_watch reloads(reload_signals, n, arguments, path);
     n.wait();
     stops.cancel();
@@ -257,12 +275,13 @@
     command->add_flag("--schema", arguments->m_show_schema, "print the settings' JSON schema");
     command->add_flag("--policy", arguments->m_show_policy,
                       "print the policy settings with defaults and ranges");
-    command->footer("A SIGTERM begins a graceful stop: requests in flight finish first.\n"
-                    "Exit codes: 0 stopped as asked, or no faults; 1 faults in the settings, or a\n"
-                    "port cannot be opened; 2 wrong usage or an unreadable file.\n\n"
-                    "Examples:\n"
-                    "  pomelohead node --settings node.json --check-settings\n"
-                    "  pomelohead node --settings node.json 2>node.log");
+    command->footer(
+        "A SIGTERM begins a graceful stop: requests in flight finish first.\n"
+        "Exit codes: 0 stopped as asked, or no faults; 1 faults in the settings, or a\n"
+        "port stays held for longer than a stop takes; 2 wrong usage or an unreadable file.\n\n"
+        "Examples:\n"
+        "  pomelohead node --settings node.json --check-settings\n"
+        "  pomelohead node --settings node.json 2>node.log");
     command->callback([arguments, &exit_code] { exit_code = run(*arguments); });
 }
 
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -30,7 +30,7 @@
     node& operator=(const node&) = delete;
     ~node();
 
-    /// Opens all ports and begins. Fails where a port cannot be opened.
+    /// Opens all ports and begins. Fails at once where a port cannot be opened; see port_wait.h.
     bool start(reason& why);
 
     /// Begins a graceful stop. Idempotent.
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -180,4 +180,31 @@
     return options;
 }
 
+std::vector<forwarding::endpoint> ports_of(const settings::node_settings& settings)
+{
+    const settings::listen_settings& listen = settings.m_listen;
+    std::vector<std::uint16_t> ports = {listen.m_admin_port, listen.m_owner_port,
+                                        listen.m_caller_port};
+    if (listen.m_ready_port != 0) {
+        ports.push_back(listen.m_ready_port);
+    }
+    if (settings.m_store || knob_reader(settings).on("gossip")) {
+        ports.push_back(listen.m_control_port);
+    }
+    std::vector<forwarding::endpoint> out;
+    out.reserve(ports.size());
+    for (const std::uint16_t port : ports) {
+        out.push_back({listen.m_address, port});
+    }
+    return out;
+}
+
+duration port_wait_limit_of(const settings::node_settings& settings)
+{
+    constexpr duration margin = std::chrono::seconds(1); // for the end of the process itself
+    constexpr duration default_limit = std::chrono::seconds(10);
+    const std::optional<duration> stop_bound = shutdown_options_of(settings).m_bound;
+    return stop_bound ? *stop_bound + margin : default_limit;
+}
+
 } // namespace pomelohead::node
--- a/pomelohead/node/node_options.h
+++ b/pomelohead/node/node_options.h
@@ -30,4 +30,11 @@
 [[nodiscard]] lifecycle::shutdown_options
 shutdown_options_of(const settings::node_settings& settings);
 
+/// All ports that a node listens on.
+[[nodiscard]] std::vector<forwarding::endpoint> ports_of(const settings::node_settings& settings);
+
+/// How long a node that starts waits for the ports that the node before it may still hold: until
+/// that one's stop is over.
+[[nodiscard]] duration port_wait_limit_of(const settings::node_settings& settings);
+
 } // namespace pomelohead::node
--- a/testing/starts_test.py
+++ b/testing/starts_test.py
@@ -1,9 +1,10 @@
-"""Starts of real nodes: signals that arrive early."""
+"""Starts of real nodes: signals that arrive early, ports that another process still holds."""
 import json
 import os
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -37,8 +38,8 @@
         return node
 
     def events(self):
-        lines = self.log.read_text("utf-8", "replace").splitlines()
-        return [json.loads(line)["event"] for line in lines if line.startswith("{")]
+        whole_lines = self.log.read_text("utf-8", "replace").split("\n")[:-1]
+        return [json.loads(line)["event"] for line in whole_lines if line.startswith("{")]
 
     def wait(self, condition, what):
         end = time.monotonic() + LIMIT_S
@@ -80,6 +81,34 @@
             node.send_signal(signal.SIGTERM)
             self.assertEqual(node.wait(LIMIT_S), 0)
 
+    def test_ports_held_by_the_process_before_are_waited_for(self):
+        self.settings.write_text(SETTINGS.replace("graceS=0.5", "graceS=15"), "utf-8")
+        for port in (8141, 8146, 8147, 7380, 7381):
+            for asks_stop in (False, True):
+                with self.subTest(port=port, asks_stop=asks_stop):
+                    with socket.create_server((ADDRESS, port)):
+                        node = self.start_node()
+                        self.wait(lambda: "port_held" in self.events() or node.poll() is not None,
+                                  "it waits for the port")
+                        if asks_stop:
+                            node.terminate()
+                            self.assertEqual(node.wait(LIMIT_S), 0)
+                    if not asks_stop:
+                        self.wait(lambda: "started" in self.events() or node.poll() is not None,
+                                  "it starts")
+                    self.assertEqual("started" in self.events(), not asks_stop)
+                    self.assertIn(f"{ADDRESS}:{port}: Address already in use", self.log.read_text())
+                    node.kill()
+                    node.wait()
+
+    def test_port_that_stays_held_is_named_at_the_end(self):
+        self.settings.write_text(SETTINGS, "utf-8")
+        with socket.create_server((ADDRESS, 8147)):
+            node = self.start_node()
+            self.assertEqual(node.wait(LIMIT_S), 1)
+        self.assertEqual(self.events(), ["port_held", "start_failed"])
+        self.assertIn(f"pomelohead node: cannot listen on {ADDRESS}:8147", self.log.read_text())
+
 
 if __name__ == "__main__":
     unittest.main()
