A stop ends before the host ends the process

Change: where the limit is the host's, the stop ends 0.25 s before it, or a twelfth of a grace below 3 s, half of the last sixth in which requests at work may be cut.

The test failed without the change, for each of four limits: check (*bound < limit) has failed

--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -3,6 +3,7 @@
 #include "pomelohead/settings/policy_knobs.h"
 #include "pomelohead/telemetry/log.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace pomelohead::node {
@@ -11,6 +12,11 @@
 constexpr std::size_t kib = 1024;
 constexpr std::size_t mib = 1024 * kib;
 
+// Between the end of a stop and the moment at which the host ends the process: for closing the
+// connections. It takes at most one part in exit_share of a short limit.
+constexpr duration exit_time = std::chrono::milliseconds(250);
+constexpr int exit_share = 12;
+
 // Reads knobs as the types that the options have.
 class knob_reader {
 public:
@@ -175,7 +181,8 @@
         options.m_bound = knobs.seconds("stop_limit_s");
     }
     else if (settings.m_stop_limit) {
-        options.m_bound = *settings.m_stop_limit;
+        const duration limit = *settings.m_stop_limit;
+        options.m_bound = limit - std::min(exit_time, limit / exit_share);
     }
     return options;
 }
--- a/pomelohead/node/node_options_test.cc
+++ b/pomelohead/node/node_options_test.cc
@@ -44,6 +44,19 @@
     }
 }
 
+// Guards against a process that is killed at the end of its grace while it still cuts its requests.
+BOOST_AUTO_TEST_CASE(stop_ends_before_the_host_ends_the_process)
+{
+    for (const milliseconds limit : {300ms, 1000ms, 6000ms, 60'000ms}) {
+        settings::node_settings settings;
+        settings.m_stop_limit = limit;
+        const auto bound = shutdown_options_of(settings).m_bound;
+        BOOST_REQUIRE(bound);
+        BOOST_TEST((*bound < limit));
+        BOOST_TEST((*bound > limit - limit / 6)); // requests at work keep most of the time
+    }
+}
+
 BOOST_AUTO_TEST_CASE(small_hosts_relay_no_configuration)
 {
     struct host_case {
