A request that ends without an answer is recorded, with how far it came

Change: where a connection on which a request was read ends without a complete response and its peer has not left, the node writes request_unanswered with the request's id, the phase (reading, queued, at_target, answering), its side (caller or owner) and the reason, and adds to requests_unanswered_total{side, phase}. That the peer left is known from the watch of its connection, from a failed write, or from the socket when the exchange has ended. An answer is no longer started on a connection that this side has closed: the phase would be answering.

A request that was sent behind an answer that closes its connection, and has not been started, is not recorded: it has not run, and callers know.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/forwarding/entry_exchange.h"
 
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::forwarding {
@@ -65,6 +66,22 @@
     m_fibers.wait();
 }
 
+void entry_exchange::record_if_unanswered() const
+{
+    if (!m_exchange.is_unanswered()) {
+        return;
+    }
+    const request_phase phase = m_exchange.answered()         ? request_phase::answering
+                                : !m_attempts.empty()         ? request_phase::at_target
+                                : m_exchange.request().done() ? request_phase::queued
+                                                              : request_phase::reading;
+    std::string why(outcome::to_string(m_state.m_last_cause));
+    if (!m_exchange.failure().empty()) {
+        why += ": " + m_exchange.failure();
+    }
+    record_unanswered(m_service.m_stats, {m_request_id, phase, request_side::caller, why});
+}
+
 bool entry_exchange::read_caller_headers()
 {
     const http::header<true>& head = m_exchange.request().head();
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -24,6 +24,9 @@
     /// have ended.
     void run();
 
+    /// Records the request if its connection ends without a complete response. For use after run().
+    void record_if_unanswered() const;
+
 private:
     bool find_route();
     bool read_caller_headers();
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -60,7 +60,9 @@
         proxy_ticket_request(exchange);
     }
     else {
-        entry_exchange(*this, exchange).run();
+        entry_exchange request(*this, exchange);
+        request.run();
+        request.record_if_unanswered();
     }
     m_callbacks.m_on_request_ended();
 }
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -73,9 +73,13 @@
 
 exchange_watch::exchange_watch(detail::server_connection& c, std::uint64_t number,
                                std::function<void()> on_closed, std::function<void()> on_early_data)
-    : m_connection(c), m_number(number),
-      m_watch(
-          c.m_stream, [&c] { detail::end_connection(c); }, std::move(on_early_data))
+    : m_connection(c), m_number(number), m_watch(
+                                             c.m_stream,
+                                             [&c] {
+                                                 c.m_closed_by_peer = true;
+                                                 detail::end_connection(c);
+                                             },
+                                             std::move(on_early_data))
 {
     c.m_on_closed[number] = std::move(on_closed);
 }
@@ -105,10 +109,34 @@
     });
     if (m_connection.m_ended) {
         why = {reason_code::interrupted, "the connection has ended"};
+    }
+    else if (!m_stream.socket().is_open()) {
+        why = {reason_code::cancelled, "this side has closed the connection"};
+    }
+    else {
+        return true;
+    }
+    m_failure = why.m_text;
+    m_must_close = true;
+    return false;
+}
+
+bool server_exchange::is_unanswered() const
+{
+    const bool has_caller_left = m_connection.m_closed_by_peer ||
+                                 (m_stream.socket().is_open() && is_closed_by_peer(m_stream));
+    return !m_is_answered && !has_caller_left;
+}
+
+bool server_exchange::note_write(bool succeeded, const reason& why)
+{
+    if (!succeeded) {
         m_must_close = true;
-        return false;
+        m_failure = why.m_text;
+        m_connection.m_closed_by_peer =
+            m_connection.m_closed_by_peer || why.m_code == reason_code::interrupted;
     }
-    return true;
+    return succeeded;
 }
 
 bool server_exchange::must_close() const
@@ -139,10 +167,10 @@
     const message_framing framing =
         no_body && body.empty() ? message_framing::none() : message_framing::of_length(body.size());
     m_writer.emplace(m_stream);
-    const bool succeeded =
-        m_writer->write_head(head, framing, no_body ? std::string_view{} : body, deadline, why);
-    m_must_close = m_must_close || !succeeded;
-    return succeeded;
+    m_is_answered = note_write(
+        m_writer->write_head(head, framing, no_body ? std::string_view{} : body, deadline, why),
+        why);
+    return m_is_answered;
 }
 
 bool server_exchange::begin(http::header<false> head, std::optional<std::uint64_t> length,
@@ -155,23 +183,18 @@
     m_writer.emplace(m_stream);
     const message_framing framing =
         length ? message_framing::of_length(*length) : message_framing::chunked();
-    const bool succeeded = m_writer->write_head(head, framing, first_piece, deadline, why);
-    m_must_close = m_must_close || !succeeded;
-    return succeeded;
+    return note_write(m_writer->write_head(head, framing, first_piece, deadline, why), why);
 }
 
 bool server_exchange::write(std::string_view piece, time_point deadline, reason& why)
 {
-    const bool succeeded = m_writer->write_body(piece, deadline, why);
-    m_must_close = m_must_close || !succeeded;
-    return succeeded;
+    return note_write(m_writer->write_body(piece, deadline, why), why);
 }
 
 bool server_exchange::finish(time_point deadline, reason& why)
 {
-    const bool succeeded = m_writer->finish(deadline, why);
-    m_must_close = m_must_close || !succeeded;
-    return succeeded;
+    m_is_answered = note_write(m_writer->finish(deadline, why), why);
+    return m_is_answered;
 }
 
 bool server_exchange::send_continue(time_point deadline, reason& why)
@@ -182,9 +205,7 @@
     http::header<false> interim;
     interim.result(100);
     message_writer writer(m_stream);
-    const bool succeeded = writer.write_head(interim, message_framing::none(), {}, deadline, why);
-    m_must_close = m_must_close || !succeeded;
-    return succeeded;
+    return note_write(writer.write_head(interim, message_framing::none(), {}, deadline, why), why);
 }
 
 http_server::http_server(boost::asio::io_context& io, endpoint where, server_options options,
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -63,6 +63,7 @@
     time_point m_idle_since{};
     bool m_is_reading_head = false;        ///< a fiber is reading a request's head
     bool m_ended = false;                  ///< no further response can be sent
+    bool m_closed_by_peer = false;         ///< seen by a watch or by a failed write
     std::uint64_t m_started_requests = 0;  ///< requests that a fiber is reading or has read
     std::uint64_t m_finished_requests = 0; ///< requests that have ended, in order of arrival
     std::size_t m_serving_fibers = 0;      ///< fibers that serve the connection
@@ -128,10 +129,19 @@
     void close_after() { m_must_close = true; }
 
     [[nodiscard]] bool answered() const { return m_writer && m_writer->started(); }
+
+    /// Whether the response is not complete though the caller has not left. For use after the last
+    /// attempt to respond.
+    [[nodiscard]] bool is_unanswered() const;
+
+    /// Why the last operation that failed on the caller's connection did; empty if none has.
+    [[nodiscard]] const std::string& failure() const { return m_failure; }
+
     [[nodiscard]] bool must_close() const;
 
 private:
     void add_connection_header(http::header<false>& head);
+    bool note_write(bool succeeded, const reason& why);
 
     detail::server_connection& m_connection;
     boost::beast::tcp_stream& m_stream;
@@ -140,6 +150,8 @@
     http_server& m_server;
     std::optional<message_writer> m_writer;
     bool m_must_close = false;
+    bool m_is_answered = false; ///< the response has been written to its end
+    std::string m_failure;
 };
 
 /// Accepts connections and calls the handler for each request.
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/forwarding/owner_exchange.h"
 
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/outcome/entry_machine.h"
 #include "pomelohead/outcome/fingerprint.h"
 #include "pomelohead/telemetry/log.h"
@@ -89,6 +90,22 @@
     m_body_sender.wait();
 }
 
+void owner_exchange::record_if_unanswered() const
+{
+    if (!m_exchange.is_unanswered()) {
+        return;
+    }
+    const request_phase phase = m_exchange.answered()           ? request_phase::answering
+                                : m_handed_over != time_point{} ? request_phase::at_target
+                                : m_exchange.request().done()   ? request_phase::queued
+                                                                : request_phase::reading;
+    std::string why(outcome::to_string(m_state.m_end.m_cause));
+    for (const std::string& text : {m_detail, m_exchange.failure()}) {
+        why += text.empty() ? "" : ": " + text;
+    }
+    record_unanswered(m_service.m_stats, {m_request_id, phase, request_side::owner, why});
+}
+
 void owner_exchange::reevaluate()
 {
     if (m_target) {
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -24,6 +24,9 @@
     /// Returns once the response has been sent or the connection is to be closed.
     void run();
 
+    /// Records the request if its connection ends without a complete response. For use after run().
+    void record_if_unanswered() const;
+
     /// Reevaluates the preconditions of the request, unless it has been handed over.
     void reevaluate();
 
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -86,6 +86,7 @@
         owner_exchange request(*this, exchange);
         m_exchanges.insert(&request);
         request.run();
+        request.record_if_unanswered();
         m_exchanges.erase(&request);
     }
     m_callbacks.m_on_request_ended();
--- /dev/null
+++ b/pomelohead/forwarding/unanswered_request.cc
@@ -0,0 +1,37 @@
+#include "pomelohead/forwarding/unanswered_request.h"
+
+#include "pomelohead/telemetry/log.h"
+
+namespace pomelohead::forwarding {
+
+std::string_view to_string(request_phase value)
+{
+    switch (value) {
+    case request_phase::reading:
+        return "reading";
+    case request_phase::queued:
+        return "queued";
+    case request_phase::at_target:
+        return "at_target";
+    case request_phase::answering:
+        return "answering";
+    }
+    return "reading";
+}
+
+std::string_view to_string(request_side value)
+{
+    return value == request_side::caller ? "caller" : "owner";
+}
+
+void record_unanswered(metrics& stats, const unanswered_request& request)
+{
+    const std::string phase(to_string(request.m_phase));
+    const std::string side(to_string(request.m_side));
+    stats.add("requests_unanswered_total", {{"side", side}, {"phase", phase}});
+    log_request(
+        log_level::warning, "request_unanswered",
+        {{"id", request.m_id}, {"phase", phase}, {"side", side}, {"reason", request.m_reason}});
+}
+
+} // namespace pomelohead::forwarding
--- /dev/null
+++ b/pomelohead/forwarding/unanswered_request.h
@@ -0,0 +1,43 @@
+// The record of a request whose connection ends without a complete response.
+//
+//     if (exchange.is_unanswered()) {
+//         record_unanswered(stats, {.m_id = id,
+//                                   .m_phase = request_phase::at_target,
+//                                   .m_side = request_side::owner,
+//                                   .m_reason = exchange.failure()});
+//     }
+//
+// writes the line request_unanswered and adds to requests_unanswered_total{side, phase}.
+#pragma once
+
+#include "pomelohead/telemetry/metrics.h"
+
+#include <string>
+
+namespace pomelohead::forwarding {
+
+/// How far a request had come.
+enum class request_phase {
+    reading,   ///< its body is not complete
+    queued,    ///< nothing of it has been passed on
+    at_target, ///< passed on: by an entry to an owner, by an owner to its target
+    answering, ///< a part of the response has been written
+};
+
+[[nodiscard]] std::string_view to_string(request_phase value);
+
+/// Which side of the node serves the request.
+enum class request_side { caller, owner };
+
+[[nodiscard]] std::string_view to_string(request_side value);
+
+struct unanswered_request {
+    std::string m_id;
+    request_phase m_phase = request_phase::reading;
+    request_side m_side = request_side::caller;
+    std::string m_reason;
+};
+
+void record_unanswered(metrics& stats, const unanswered_request& request);
+
+} // namespace pomelohead::forwarding
