Refuse a header field that the parser cannot hold with 431

Callers saw a node end with SIGABRT, and with it all requests that it had accepted, when a client sent a header whose name or value was above 65,533 bytes to a node whose configuration allows heads of 128 KiB.

Cause: http::fields keeps the lengths of a field in 16 bits and throws std::length_error above them, whatever header_limit() allows; nothing on the way out of the reading fiber caught it.

Evidence: without the check the new test failed at its row of 65,534 bytes: "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>' what(): field value too large", then SIGABRT.

read_head() now checks each name and value against that limit before the parser sees them, for requests and responses alike, and fails with too_large: a client gets 431 and the node goes on. The limit on whole heads remains the configuration's.

--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -190,8 +190,10 @@
     int lengths = 0;
     int encodings = 0;
     bool bad_value = false;
+    bool too_large = false;
     const bool well_formed =
         for_each_field(head, [&](std::string_view name, std::string_view value) {
+            too_large = too_large || std::max(name.size(), value.size()) > max_field_bytes;
             if (equals_ignoring_case(name, "Content-Length")) {
                 ++lengths;
                 bad_value =
@@ -206,6 +208,11 @@
     if (!well_formed) {
         return fail(why, reason_code::malformed, "folded or malformed header line");
     }
+    if (too_large) {
+        return fail(why, reason_code::too_large,
+                    "name or value of a header above " + std::to_string(max_field_bytes) +
+                        " bytes");
+    }
     if (lengths + encodings > 1) {
         return fail(why, reason_code::malformed, "more than one header states the body's length");
     }
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -41,6 +41,10 @@
 /// the sockets of both sides bound, is still delivered; a peer that always sends more is given up.
 inline constexpr std::size_t max_late_bytes = 8UL * 1024UL * 1024UL;
 
+/// The most bytes of a header's name, and of its value. http::fields throws above it, whatever size
+/// of a head is allowed.
+inline constexpr std::size_t max_field_bytes = 65'533;
+
 /// Limits on the head of a message.
 struct head_limits {
     std::size_t m_max_bytes = 16UL * 1024UL;
--- a/pomelohead/forwarding/http_message_test.cc
+++ b/pomelohead/forwarding/http_message_test.cc
@@ -114,6 +114,38 @@
     });
 }
 
+// Guards against a process that ends, by an exception of the parser, where large heads are allowed.
+BOOST_AUTO_TEST_CASE(field_that_the_parser_cannot_hold_is_refused_with_431)
+{
+    struct field_case {
+        std::size_t m_name_bytes;
+        std::size_t m_value_bytes;
+        const char* m_status;
+    };
+    const field_case cases[] = {{1, max_field_bytes, "200"},
+                                {1, max_field_bytes + 1, "431"},
+                                {max_field_bytes, 1, "200"},
+                                {max_field_bytes + 1, 1, "431"},
+                                {1, 100'000, "431"}};
+    testing::run_in_fiber([&](boost::asio::io_context& io) {
+        http_server server(io, server_endpoint, {.m_head = {.m_max_bytes = 128UL * 1024UL}},
+                           respond_with_body_size);
+        reason why;
+        BOOST_REQUIRE_MESSAGE(server.start(why), why.m_text);
+        for (const field_case& c : cases) {
+            BOOST_TEST_CONTEXT(c.m_name_bytes << " and " << c.m_value_bytes << " bytes")
+            {
+                const std::string answer =
+                    exchange_raw(io, "GET / HTTP/1.1\r\n" + std::string(c.m_name_bytes, 'n') +
+                                         ": " + std::string(c.m_value_bytes, 'v') + "\r\n\r\n");
+                BOOST_TEST(answer.substr(0, 13) == "HTTP/1.1 " + std::string(c.m_status) + " ");
+            }
+        }
+        server.close_listener();
+        server.wait();
+    });
+}
+
 BOOST_AUTO_TEST_CASE(stalled_head_times_out_with_408)
 {
     testing::run_in_fiber([&](boost::asio::io_context& io) {
