The cut at the end of a stop ends requests whose targets are at work

Seen: a request of 8 s of work at a grace of 6 s kept its stopping node until SIGKILL: exit -9 after 6.02 to 6.05 s, 6 of 6 runs, also with the limit of the stop 0.25 s before the grace; the log has stop_cut.

Cause: http_server::abort() closed the connection, but a watch reports only what the peer does: its wait ends with operation_aborted, which it ignores. The exchange went on until the target's answer or the deadline, and the process waited for it.

Change: abort() ends the connection's watches as an end by the peer does. Owners and entries share the server, so both sides of a node end.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -473,8 +473,11 @@
 void http_server::abort()
 {
     std::erase_if(m_open, [](const auto& c) { return c->m_is_idle; });
-    for (const auto& c : m_open) {
+    // Watches don't report a connection that is closed on this side.
+    const connection_list open = m_open;
+    for (const auto& c : open) {
         c->m_stream.close();
+        detail::end_connection(*c);
     }
 }
 
