--- a/testing/play_callers.py
+++ b/testing/play_callers.py
@@ -9,7 +9,9 @@
 from play_fleet import OUTBOUND_PORT, Sent, connect, digest, take_message
 
 READ_LIMIT_S = 12.0
-LONG_SHARE = 0.01
+LONG_SHARE = 0.05
+SLOW_READER_SHARE = 0.2
+SLOW_READER_S = 0.2
 
 
 class Caller:
@@ -72,6 +74,8 @@
         group = 1 if not is_safe or self.random.random() < 0.7 else self.random.randint(2, 4)
         made = [self._make("safe" if is_safe else "unsafe", index > 0) for index in range(group)]
         sending = asyncio.create_task(self._send(wire, made))
+        if self.random.random() < SLOW_READER_SHARE:
+            await wire.rest(SLOW_READER_S)
         try:
             for request, _ in made:
                 if not await self._receive(wire, request):
@@ -125,7 +129,7 @@
         request.has_seal = fields.get("pomelohead-response-seal") == digest(body)
         request.answer = body
         if request.status == 503:
-            self.pause_s = self.random.choice((0.0, 0.1, 0.3, 1.0))
+            self.pause_s = self.random.choice((0.1, 0.3, 1.0))
         return fields.get("connection", "").lower() != "close"
 
 
--- a/testing/play_fleet.py
+++ b/testing/play_fleet.py
@@ -130,6 +130,13 @@
         self.transport.write(data)
         await self._writable.wait()
 
+    async def rest(self, seconds):
+        """Takes no bytes from the connection for a while."""
+        self.transport.pause_reading()
+        await asyncio.sleep(seconds)
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def close(self):
         self.transport.abort()
 
