A process that an unhandled exception ends logs its reason

Operators saw: a node that ends by an exception is SIGABRT and a line of the runtime on the standard error, outside of the log and without time and node; on machines that keep the log only, nothing.

Cause: nothing handled std::terminate.

Evidence: before the change testing/starts_test.py printed, with 4, 5, 6 and 7 descriptors, FAIL: test_process_that_ends_by_itself_says_why (max_files=4) AssertionError: set() is not true (no line told the end)

Change: the node's command installs a handler that writes process_failed with the exception's text and then calls the one before it, so the exit is the same.

Why it works: the handler runs before the stack is lost, also where the exception leaves a fiber. If the line itself fails, the process ends without it.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -175,6 +175,7 @@
 {
     limit_heap_retention();
     init_logging(level_of(settings.m_log_level), settings.m_node);
+    log_unhandled_exceptions();
     log_ignored(faults);
     boost::asio::io_context& io = install_fiber_scheduler();
     boost::asio::signal_set stops(io, stop_signals[0], stop_signals[1]);
--- a/pomelohead/telemetry/log.cc
+++ b/pomelohead/telemetry/log.cc
@@ -11,7 +11,9 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -113,8 +115,45 @@
     state()->m_logger.forcedLog(library_level(level), text);
 }
 
+std::string describe(const std::exception_ptr& failure)
+{
+    if (!failure) {
+        return "terminated without an exception";
+    }
+    try {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& error) {
+        return error.what();
+    }
+    catch (...) {
+        return "an exception of another type";
+    }
+}
+
+std::terminate_handler& default_terminate_handler()
+{
+    static std::terminate_handler handler = nullptr;
+    return handler;
+}
+
+[[noreturn]] void log_and_terminate() noexcept
+{
+    // A failure of the line itself ends the process without it.
+    std::set_terminate(default_terminate_handler());
+    const std::exception_ptr failure = std::current_exception();
+    log_event(log_level::error, "process_failed", {{"why", describe(failure)}});
+    default_terminate_handler()();
+    std::abort();
+}
+
 } // namespace
 
+void log_unhandled_exceptions()
+{
+    default_terminate_handler() = std::set_terminate(log_and_terminate);
+}
+
 void init_logging(log_level lowest, std::string_view node)
 {
     state().emplace();
--- a/pomelohead/telemetry/log.h
+++ b/pomelohead/telemetry/log.h
@@ -58,6 +58,10 @@
 /// before it, nothing is written.
 void init_logging(log_level lowest, std::string_view node);
 
+/// Lets a process that an unhandled exception ends write a line `process_failed` with the
+/// exception's text first. It still ends as without the line.
+void log_unhandled_exceptions();
+
 /// Writes one line. `event` is a fixed lower_case word that tools can search for. A line is
 /// dropped and counted where the standard output takes no bytes now.
 void log_event(log_level level, std::string_view event,
--- a/testing/starts_test.py
+++ b/testing/starts_test.py
@@ -1,8 +1,10 @@
-"""Starts of real nodes: signals that arrive early, ports that another process still holds."""
+"""Starts of real nodes: signals that arrive early, ports that another process still holds, and
+descriptors that run out."""
 import json
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -27,11 +29,13 @@
         self.settings = pathlib.Path(directory.name) / "node.conf"
         self.log = pathlib.Path(directory.name) / "node.log"
 
-    def start_node(self):
+    def start_node(self, max_files=None):
         with open(self.log, "wb") as log:
             node = subprocess.Popen(
                 [str(PROGRAM), "node", "--platform", "--policy-file",
                  str(ROOT / "deploy" / "policy.json")], stdout=log, stderr=log,
+                preexec_fn=lambda: max_files and resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (max_files, max_files)),
                 env=dict(os.environ, POMELOHEAD_CONFIG=str(self.settings)))
         self.addCleanup(node.wait)
         self.addCleanup(node.kill)
@@ -109,6 +113,19 @@
         self.assertEqual(self.events(), ["port_held", "start_failed"])
         self.assertIn(f"pomelohead node: cannot listen on {ADDRESS}:8147", self.log.read_text())
 
+    def test_process_that_ends_by_itself_says_why(self):
+        self.settings.write_text(SETTINGS, "utf-8")
+        for max_files in range(4, 12):
+            with self.subTest(max_files=max_files):
+                node = self.start_node(max_files)
+                self.wait(lambda: "started" in self.events() or node.poll() is not None, "it starts")
+                if node.poll() is None:
+                    node.kill()
+                else:
+                    self.assertTrue({"process_failed", "start_failed"} & set(self.events()))
+                    self.assertIn("Too many open files", self.log.read_text())
+                node.wait()
+
 
 if __name__ == "__main__":
     unittest.main()
