A lost race for a kept connection is not taken for a crash of the target

Cause: detect_crash() took a recently used idle connection that has been closed for the exit of the target's process, though its listener accepts. A target that closes connections soon after their use gives that sign with each race, and two crashes quarantine the request.

Change: a connection that is opened after the loss stays open as a witness; a process that is exiting closes it. A refused connection is a crash, as before; a closed witness is one only if all recently used connections are closed too. That takes one connection in place of four where the target lives. A pool remembers for 10 s that its peer closed a connection within a second of its use, and sends requests whose method is not safe on new connections meanwhile, each in place of an idle one. What may have run is still not run again, and 503 is still only said of what has not.

--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -21,6 +21,9 @@
 // Servers keep an idle connection open for longer than this between exchanges.
 constexpr duration recent_use_window = std::chrono::seconds(1);
 
+// How long a peer is taken to close connections early after it has done so.
+constexpr duration early_close_memory = std::chrono::seconds(10);
+
 // A request written while the peer closes the connection may or may not be read; the margin covers
 // the network delay and a busy target.
 constexpr duration close_margin = std::chrono::milliseconds(500);
@@ -86,25 +89,50 @@
     return c;
 }
 
-std::unique_ptr<client_connection> connection_pool::acquire(time_point deadline, reason& why)
+std::unique_ptr<client_connection> connection_pool::acquire(time_point deadline, reason& why,
+                                                            connection_reuse reuse)
 {
-    const time_point oldest = clock_type::now() - max_idle_time;
+    const time_point now = clock_type::now();
+    if (reuse == connection_reuse::unless_closed_early && now < m_closes_early_until) {
+        // The new connection takes the place of an idle one at the peer.
+        if (!m_idle.empty()) {
+            m_idle.pop_front();
+        }
+        return connect(m_io, m_where, std::min(deadline, now + m_connect_timeout), why);
+    }
     while (!m_idle.empty()) {
         std::unique_ptr<client_connection> c = std::move(m_idle.back());
         m_idle.pop_back();
-        const bool is_fresh = c->m_idle_since >= oldest && clock_type::now() < c->m_usable_until;
+        const bool is_fresh =
+            c->m_idle_since >= now - max_idle_time && clock_type::now() < c->m_usable_until;
         if (is_fresh && !is_stale(*c)) {
             return c;
         }
+        if (is_fresh && c->m_idle_since >= now - recent_use_window) {
+            record_early_close();
+        }
     }
     return connect(m_io, m_where, std::min(deadline, clock_type::now() + m_connect_timeout), why);
 }
 
-bool connection_pool::has_recently_used_closed() const
+void connection_pool::record_early_close()
+{
+    m_closes_early_until = clock_type::now() + early_close_memory;
+}
+
+bool connection_pool::has_lost_all_recently_used() const
 {
     const time_point recent = clock_type::now() - recent_use_window;
-    return std::ranges::any_of(
-        m_idle, [&](const auto& c) { return c->m_idle_since >= recent && is_stale(*c); });
+    std::size_t closed = 0;
+    for (const auto& c : m_idle) {
+        if (c->m_idle_since >= recent) {
+            if (!is_stale(*c)) {
+                return false;
+            }
+            ++closed;
+        }
+    }
+    return closed > 0;
 }
 
 std::optional<duration> keep_alive_timeout(const http::header<false>& head)
--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -42,6 +42,13 @@
 /// Long enough for one lost SYN packet on the way to another region.
 inline constexpr duration default_connect_timeout = std::chrono::milliseconds(1000);
 
+/// Whether a request may be sent on a connection that was in use before. The peer may be closing
+/// it, and then nobody knows whether it has read the request.
+enum class connection_reuse {
+    always,
+    unless_closed_early, ///< not while the peer closes connections that it has just used
+};
+
 /// The connections to one endpoint.
 class connection_pool {
 public:
@@ -54,16 +61,20 @@
     }
 
     /// Returns an idle connection that is still open, or opens a new one.
-    [[nodiscard]] std::unique_ptr<client_connection> acquire(time_point deadline, reason& why);
+    [[nodiscard]] std::unique_ptr<client_connection>
+    acquire(time_point deadline, reason& why, connection_reuse reuse = connection_reuse::always);
 
     /// Returns a connection after a complete exchange. `idle_limit`: the time after which the peer
     /// has announced to close it.
     void release(std::unique_ptr<client_connection> c,
                  std::optional<duration> idle_limit = std::nullopt);
 
-    /// Whether a recently used connection was closed while idle, which suggests that the peer's
-    /// process has exited.
-    [[nodiscard]] bool has_recently_used_closed() const;
+    /// Records that the peer has closed a connection soon after it was in use.
+    void record_early_close();
+
+    /// Whether there are idle connections that were in use recently, and the peer has closed them
+    /// all.
+    [[nodiscard]] bool has_lost_all_recently_used() const;
 
     /// Closes all idle connections.
     void clear() { m_idle.clear(); }
@@ -73,6 +84,7 @@
     endpoint m_where;
     std::size_t m_max_idle;
     duration m_connect_timeout;
+    time_point m_closes_early_until{}; ///< the peer is taken to close connections early until then
     std::deque<std::unique_ptr<client_connection>> m_idle;
 };
 
--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -177,10 +177,13 @@
 }
 
 // An exiting process closes its descriptors one after another: the connection of a request may be
-// lost while the listener still accepts. Idle connections closed at the same time, or a listener
-// that is closed shortly afterwards, show that the process has exited.
+// lost while the listener still accepts. A target that lives also closes connections, also all idle
+// ones at once, so that what tells it is a connection opened after the loss: it stays open, and
+// does not outlive a process that is exiting.
 bool owned_target::detect_crash(std::uint64_t epoch)
 {
+    std::unique_ptr<client_connection> witness;
+    bool has_lost_witness = false;
     for (const duration delay : probe_delays) {
         if (delay > duration::zero()) {
             sleep_for(delay);
@@ -188,13 +191,18 @@
         if (epoch != m_epoch) {
             return true; // another request of the epoch has detected the crash
         }
+        if (witness && !is_stale(*witness)) {
+            continue;
+        }
+        has_lost_witness = has_lost_witness || witness;
         reason why;
-        const auto probe = connect(m_io, {m_target.m_host, m_target.m_port},
-                                   clock_type::now() + probe_timeout, why);
-        if (probe == nullptr && why.m_code == reason_code::unreachable) {
+        witness = connect(m_io, {m_target.m_host, m_target.m_port},
+                          clock_type::now() + probe_timeout, why);
+        if (!witness && why.m_code == reason_code::unreachable) {
             return true;
         }
-        if (m_pool.has_recently_used_closed()) {
+        // The process may already be back.
+        if (has_lost_witness && m_pool.has_lost_all_recently_used()) {
             return true;
         }
     }
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -428,7 +428,11 @@
         return;
     }
     reason why;
-    m_connection = m_target->pool().acquire(m_deadline, why);
+    const http::verb method = m_exchange.request().head().method();
+    const bool is_safe = method == http::verb::get || method == http::verb::head;
+    m_connection = m_target->pool().acquire(m_deadline, why,
+                                            is_safe ? connection_reuse::always
+                                                    : connection_reuse::unless_closed_early);
     if (!m_connection) {
         process_event({.m_kind = owner_event_kind::connect_failed});
         return;
@@ -537,6 +541,10 @@
         return;
     }
     m_detail = why.m_text;
+    if (why.m_code == reason_code::cancelled && m_connection->was_released()) {
+        m_service.m_stats.add("kept_connections_lost_total");
+        m_target->pool().record_early_close();
+    }
     const bool lost =
         why.m_code == reason_code::interrupted || why.m_code == reason_code::cancelled;
     const bool crashed = lost && m_target->detect_crash(m_epoch);
