A log whose reader has ended does not end the node

Callers saw: a node whose standard output is a pipe ends with SIGPIPE at the first line after the pipe's reader has ended, and with it what it had accepted is lost.

Cause: poll() reports such a pipe as ready, with POLLERR, and is_output_ready() looked only at its return value; SIGPIPE had its usual effect in the process.

Change: a line is dropped and counted where the output has an error, as where it takes no bytes, and a node ignores SIGPIPE.

Why it works: with the signal ignored a reader that ends between poll() and write() is a failed write. Sockets do not depend on it, as Asio sends with MSG_NOSIGNAL.

--- a/pomelohead/cli/node_command.cc
+++ b/pomelohead/cli/node_command.cc
@@ -260,6 +260,8 @@
 {
     const sigset_t signals = handled_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A reader of the log that ends shows as a failed write.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 void add_node_command(CLI::App& app, int& exit_code)
--- a/pomelohead/telemetry/log.cc
+++ b/pomelohead/telemetry/log.cc
@@ -89,7 +89,7 @@
 bool is_output_ready()
 {
     pollfd out{STDOUT_FILENO, POLLOUT, 0};
-    return ::poll(&out, 1, 0) > 0;
+    return ::poll(&out, 1, 0) > 0 && (out.revents & (POLLERR | POLLNVAL)) == 0;
 }
 
 void write_line(log_level level, std::string_view event, std::initializer_list<log_field> fields)
--- a/testing/starts_test.py
+++ b/testing/starts_test.py
@@ -1,5 +1,5 @@
-"""Starts of real nodes: signals that arrive early, ports that another process still holds, and
-descriptors that run out."""
+"""Starts of real nodes: signals that arrive early, ports that another process still holds,
+descriptors that run out, and a log that nobody takes."""
 import json
 import os
 import pathlib
@@ -29,11 +29,11 @@
         self.settings = pathlib.Path(directory.name) / "node.conf"
         self.log = pathlib.Path(directory.name) / "node.log"
 
-    def start_node(self, max_files=None):
+    def start_node(self, max_files=None, output=None):
         with open(self.log, "wb") as log:
             node = subprocess.Popen(
                 [str(PROGRAM), "node", "--platform", "--policy-file",
-                 str(ROOT / "deploy" / "policy.json")], stdout=log, stderr=log,
+                 str(ROOT / "deploy" / "policy.json")], stdout=output or log, stderr=output or log,
                 preexec_fn=lambda: max_files and resource.setrlimit(
                     resource.RLIMIT_NOFILE, (max_files, max_files)),
                 env=dict(os.environ, POMELOHEAD_CONFIG=str(self.settings)))
@@ -41,6 +41,14 @@
         self.addCleanup(node.kill)
         return node
 
+    @staticmethod
+    def is_listening():
+        try:
+            socket.create_connection((ADDRESS, 8141), LIMIT_S).close()
+            return True
+        except OSError:
+            return False
+
     def events(self):
         whole_lines = self.log.read_text("utf-8", "replace").split("\n")[:-1]
         return [json.loads(line)["event"] for line in whole_lines if line.startswith("{")]
@@ -126,6 +134,24 @@
                     self.assertIn("Too many open files", self.log.read_text())
                 node.wait()
 
+    def test_log_whose_reader_is_gone_does_not_end_the_process(self):
+        self.settings.write_text(SETTINGS, "utf-8")
+        for is_gone_at_start in (True, False):
+            with self.subTest(is_gone_at_start=is_gone_at_start):
+                reader, writer = os.pipe()
+                node = self.start_node(output=writer)
+                os.close(writer)
+                if is_gone_at_start:
+                    os.close(reader)
+                self.wait(lambda: self.is_listening() or node.poll() is not None, "it starts")
+                if not is_gone_at_start:
+                    os.close(reader)
+                for _ in range(5):
+                    node.send_signal(signal.SIGHUP)  # logs a line
+                    time.sleep(0.02)
+                node.terminate()
+                self.assertEqual(node.wait(LIMIT_S), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
