A connection is used again only when both of its messages are complete

Cause: the owner kept a connection if the response had been read, the entry's request had been read, and a flag said that the body had been sent. Only one of the two ways to send a body set that flag. Where the deadline ended the write of the last piece and the target had answered before it read the body, all three held and a part of the request was unwritten.

Change: connection_pool::release() takes a reusable_connection, which is made only from the writer of the request and the reader of the response, if both are complete (message_writer::is_complete()) and neither side closes. The owner's connections to targets, the entry's to owners and those of http_get() go back by this way; the flag and the conditions beside it are gone. A server closes a connection whose request has no complete response.

--- a/pomelohead/forwarding/connection_pool.cc
+++ b/pomelohead/forwarding/connection_pool.cc
@@ -56,6 +56,17 @@
 
 } // namespace
 
+std::optional<reusable_connection> reusable_connection::after(std::unique_ptr<client_connection>& c,
+                                                              const message_writer& request,
+                                                              const response_reader& response)
+{
+    if (!c || !c->m_stream.socket().is_open() || !request.is_complete() || !response.has_head() ||
+        !response.done() || !response.keep_alive()) {
+        return std::nullopt;
+    }
+    return reusable_connection(std::move(c));
+}
+
 bool is_stale(client_connection& c)
 {
     if (c.m_buffer.size() > 0) {
@@ -149,9 +160,9 @@
     return std::chrono::seconds(seconds);
 }
 
-void connection_pool::release(std::unique_ptr<client_connection> c,
-                              std::optional<duration> idle_limit)
+void connection_pool::release(reusable_connection reusable, std::optional<duration> idle_limit)
 {
+    std::unique_ptr<client_connection> c = std::move(reusable.m_connection);
     c->m_idle_since = clock_type::now();
     c->m_usable_until =
         idle_limit ? c->m_idle_since + *idle_limit - close_margin : time_point::max();
--- a/pomelohead/forwarding/connection_pool.h
+++ b/pomelohead/forwarding/connection_pool.h
@@ -6,8 +6,10 @@
 //
 //     reason why;
 //     std::unique_ptr<client_connection> c = pool.acquire(deadline, why);
-//     ... one complete exchange ...
-//     pool.release(std::move(c));
+//     ... one exchange with a message_writer and a response_reader ...
+//     if (auto reusable = reusable_connection::after(c, writer, reader)) {
+//         pool.release(std::move(*reusable));
+//     }
 #pragma once
 
 #include "pomelohead/forwarding/http_server.h"
@@ -29,6 +31,24 @@
     [[nodiscard]] bool was_released() const { return m_idle_since != time_point{}; }
 };
 
+/// A connection that can carry another exchange: both messages of the one before are complete.
+class reusable_connection {
+public:
+    /// Nothing, and `c` is left as it is, if a part of the request has not been written or a part
+    /// of the response has not been read, or if either side closes the connection.
+    [[nodiscard]] static std::optional<reusable_connection>
+    after(std::unique_ptr<client_connection>& c, const message_writer& request,
+          const response_reader& response);
+
+private:
+    friend class connection_pool;
+    explicit reusable_connection(std::unique_ptr<client_connection> c) : m_connection(std::move(c))
+    {
+    }
+
+    std::unique_ptr<client_connection> m_connection;
+};
+
 /// Whether the peer has closed the connection or sent unexpected bytes.
 [[nodiscard]] bool is_stale(client_connection& c);
 
@@ -64,10 +84,8 @@
     [[nodiscard]] std::unique_ptr<client_connection>
     acquire(time_point deadline, reason& why, connection_reuse reuse = connection_reuse::always);
 
-    /// Returns a connection after a complete exchange. `idle_limit`: the time after which the peer
-    /// has announced to close it.
-    void release(std::unique_ptr<client_connection> c,
-                 std::optional<duration> idle_limit = std::nullopt);
+    /// Returns a connection. `idle_limit`: the time after which the peer has announced to close it.
+    void release(reusable_connection reusable, std::optional<duration> idle_limit = std::nullopt);
 
     /// Records that the peer has closed a connection soon after it was in use.
     void record_early_close();
--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -91,11 +91,11 @@
     if (!m_request.m_streamed && framing.is_chunked()) {
         framing = message_framing::of_length(m_request.m_body.bytes().size());
     }
-    message_writer writer(m_connection->m_stream);
+    m_writer.emplace(m_connection->m_stream);
     reason why;
     const std::string_view body =
         uses_expect_continue() ? std::string_view{} : std::string_view(m_request.m_body.bytes());
-    if (!writer.write_head(head, framing, body, m_request.m_deadline, why)) {
+    if (!m_writer->write_head(head, framing, body, m_request.m_deadline, why)) {
         report_connection_lost(why, cause::connection_lost);
         return false;
     }
@@ -110,19 +110,19 @@
     if (m_reader->head().result_int() != 100) {
         return true;
     }
-    return m_request.m_streamed ? stream_body(writer) : send_body_after_continue(writer);
+    return m_request.m_streamed ? stream_body() : send_body_after_continue();
 }
 
-bool entry_attempt::send_body_after_continue(message_writer& writer)
+bool entry_attempt::send_body_after_continue()
 {
     reason why;
     // If the write fails, the owner may have responded early.
-    return (writer.write_body(m_request.m_body.bytes(), m_request.m_deadline, why) &&
-            writer.finish(m_request.m_deadline, why)) ||
+    return (m_writer->write_body(m_request.m_body.bytes(), m_request.m_deadline, why) &&
+            m_writer->finish(m_request.m_deadline, why)) ||
            !m_abandoned;
 }
 
-bool entry_attempt::stream_body(message_writer& writer)
+bool entry_attempt::stream_body()
 {
     reason why;
     std::string piece = m_request.m_body.bytes();
@@ -130,11 +130,11 @@
     m_request.m_on_event({.m_kind = entry_event_kind::body_not_replayable});
     m_request.m_body.release();
     while (true) {
-        if (!writer.write_body(piece, m_request.m_deadline, why)) {
+        if (!m_writer->write_body(piece, m_request.m_deadline, why)) {
             return !m_abandoned; // the owner may have responded early
         }
         if (state == body_state::end) {
-            return writer.finish(m_request.m_deadline, why) || !m_abandoned;
+            return m_writer->finish(m_request.m_deadline, why) || !m_abandoned;
         }
         state = m_request.m_exchange.request().read_body(piece, max_piece_bytes,
                                                          m_request.m_deadline, why);
@@ -228,11 +228,8 @@
 {
     const bool refused =
         outcome::parse_outcome(m_reader->head()[outcome_header]) == outcome::outcome::not_run;
-    const bool reusable = fully_forwarded && m_state == body_state::end && m_reader->keep_alive() &&
-                          !m_abandoned && (!uses_expect_continue() || !refused) &&
-                          m_request.m_exchange.request().done();
-    if (reusable) {
-        m_service.pool(m_address).release(std::move(m_connection));
+    if (auto reusable = reusable_connection::after(m_connection, *m_writer, *m_reader)) {
+        m_service.pool(m_address).release(std::move(*reusable));
     }
     m_connection.reset();
     record_result(refused           ? routing::attempt_result::not_run
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -57,8 +57,8 @@
 private:
     bool write_request();
     [[nodiscard]] bool uses_expect_continue() const;
-    bool send_body_after_continue(message_writer& writer);
-    bool stream_body(message_writer& writer);
+    bool send_body_after_continue();
+    bool stream_body();
     bool read_head();
     void read_response();
     void record_result(routing::attempt_result result);
@@ -71,6 +71,7 @@
     config::target m_target;
     std::string m_address;
     std::unique_ptr<client_connection> m_connection;
+    std::optional<message_writer> m_writer;
     std::optional<response_reader> m_reader;
     std::string m_response_prefix;
     body_state m_state = body_state::more;
--- a/pomelohead/forwarding/http_get.cc
+++ b/pomelohead/forwarding/http_get.cc
@@ -51,8 +51,8 @@
     }
     response.m_status = reader.head().result_int();
     response.m_fields = static_cast<const http::fields&>(reader.head());
-    if (reader.keep_alive()) {
-        pool.release(std::move(connection));
+    if (auto reusable = reusable_connection::after(connection, writer, reader)) {
+        pool.release(std::move(*reusable));
     }
     return response;
 }
--- a/pomelohead/forwarding/http_message.cc
+++ b/pomelohead/forwarding/http_message.cc
@@ -406,7 +406,9 @@
         text.append(first_piece).append("\r\n");
         return write(text, {}, deadline, why);
     }
-    return write(text, first_piece, deadline, why);
+    const bool is_written = write(text, first_piece, deadline, why);
+    m_is_complete = is_written && !framing.is_chunked() && m_remaining == 0;
+    return is_written;
 }
 
 template bool message_writer::write_head<true>(const http::header<true>&, const message_framing&,
@@ -435,7 +437,9 @@
         return false;
     }
     if (!m_framing.is_chunked()) {
-        return write(piece, {}, deadline, why);
+        const bool is_written = write(piece, {}, deadline, why);
+        m_is_complete = is_written && m_remaining == 0;
+        return is_written;
     }
     std::string framed = chunk_prefix(piece.size());
     framed.append(piece).append("\r\n");
@@ -447,7 +451,11 @@
     if (m_remaining > 0) {
         return fail(why, reason_code::conflict, "the body is shorter than its head says");
     }
-    return !m_framing.is_chunked() || write(last_chunk, {}, deadline, why);
+    if (m_framing.is_chunked()) {
+        m_is_complete = write(last_chunk, {}, deadline, why);
+        return m_is_complete;
+    }
+    return true;
 }
 
 bool message_writer::write(std::string_view first, std::string_view second, time_point deadline,
--- a/pomelohead/forwarding/http_message.h
+++ b/pomelohead/forwarding/http_message.h
@@ -159,6 +159,9 @@
     /// Whether any byte has been passed to the connection.
     [[nodiscard]] bool started() const { return m_started; }
 
+    /// Whether the message has been passed to the connection to its end.
+    [[nodiscard]] bool is_complete() const { return m_is_complete; }
+
 private:
     bool account_for(std::string_view piece, reason& why);
     bool write(std::string_view first, std::string_view second, time_point deadline, reason& why);
@@ -167,6 +170,7 @@
     message_framing m_framing = message_framing::none();
     std::uint64_t m_remaining = 0; ///< of a body whose head states its length
     bool m_started = false;
+    bool m_is_complete = false;
 };
 
 /// Removes the headers that concern a single connection only (RFC 9110, section 7.6.1) and the
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -392,7 +392,7 @@
     if (is_ready) {
         m_handler(exchange);
     }
-    return finish(c, number, !is_ready || exchange.must_close());
+    return finish(c, number, !is_ready || !exchange.is_answered() || exchange.must_close());
 }
 
 std::uint64_t http_server::finish(connection& c, std::uint64_t number, bool close)
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -130,6 +130,9 @@
 
     [[nodiscard]] bool answered() const { return m_writer && m_writer->started(); }
 
+    /// Whether the response has been written to its end.
+    [[nodiscard]] bool is_answered() const { return m_is_answered; }
+
     /// Whether the response is not complete though the caller has not left. For use after the last
     /// attempt to respond.
     [[nodiscard]] bool is_unanswered() const;
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -462,21 +462,21 @@
     }
     m_epoch = m_target->record_handover(m_id, m_fingerprint);
     m_handed_over = m_service.m_timers.now();
-    message_writer writer(m_connection->m_stream);
+    m_writer.emplace(m_connection->m_stream);
     reason why;
     const message_framing framing = m_exchange.request().framing();
     const bool is_large = m_body.is_complete() && m_body.bytes().size() > max_inline_body_bytes;
     const std::string_view first = is_large ? std::string_view{} : m_body.bytes();
-    const bool written = writer.write_head(head, framing, first, m_deadline, why);
+    const bool written = m_writer->write_head(head, framing, first, m_deadline, why);
     if (written && is_large) {
-        send_buffered_body(writer);
+        send_buffered_body();
         return;
     }
     if (written && m_body.is_complete()) {
-        writer.finish(m_deadline, why);
+        m_writer->finish(m_deadline, why);
     }
     else if (written) {
-        stream_remaining_body(writer);
+        stream_remaining_body();
     }
     if (m_state.m_phase == owner_phase::finished) {
         return;
@@ -488,23 +488,23 @@
 
 // A target may respond before it has read a large body, and read the rest later or never, so the
 // response is read while the body is being written.
-void owner_exchange::send_buffered_body(message_writer& writer)
+void owner_exchange::send_buffered_body()
 {
-    m_request_body_sent = false;
-    m_body_sender.spawn([this, &writer] {
+    m_body_sender.spawn([this] {
         reason why;
-        m_request_body_sent =
-            writer.write_body(m_body.bytes(), m_deadline, why) && writer.finish(m_deadline, why);
+        if (m_writer->write_body(m_body.bytes(), m_deadline, why)) {
+            m_writer->finish(m_deadline, why);
+        }
     });
     read_response();
-    if (m_connection && !m_request_body_sent) {
+    if (m_connection) {
         m_connection->m_stream.close();
     }
     m_body_sender.wait();
     m_connection.reset();
 }
 
-bool owner_exchange::stream_remaining_body(message_writer& writer)
+bool owner_exchange::stream_remaining_body()
 {
     m_body.release();
     std::string piece;
@@ -522,11 +522,11 @@
             }
             return false;
         }
-        if (!writer.write_body(piece, m_deadline, why)) {
+        if (!m_writer->write_body(piece, m_deadline, why)) {
             return false;
         }
         if (state == body_state::end) {
-            return writer.finish(m_deadline, why);
+            return m_writer->finish(m_deadline, why);
         }
     }
 }
@@ -657,16 +657,18 @@
 
 void owner_exchange::return_connection(bool is_wanted)
 {
-    const bool reusable = is_wanted && m_reader->done() && m_reader->keep_alive() &&
-                          m_state.m_phase != owner_phase::finished && m_exchange.request().done() &&
-                          m_request_body_sent;
     const std::optional<duration> idle_limit = keep_alive_timeout(m_reader->head());
+    std::optional<reusable_connection> reusable;
+    if (is_wanted) {
+        reusable = reusable_connection::after(m_connection, *m_writer, *m_reader);
+    }
     m_reader.reset();
     if (reusable) {
-        m_target->pool().release(std::move(m_connection), idle_limit);
+        m_target->pool().release(std::move(*reusable), idle_limit);
     }
-    else if (m_request_body_sent) {
-        m_connection.reset();
+    else {
+        // The rest of the request may still be being written.
+        m_connection->m_stream.close();
     }
 }
 
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -48,8 +48,8 @@
 
     void connect_target();
     void write_request();
-    bool stream_remaining_body(message_writer& writer);
-    void send_buffered_body(message_writer& writer);
+    bool stream_remaining_body();
+    void send_buffered_body();
     [[nodiscard]] bool read_matching_head(reason& why);
     bool discard_response(reason& why);
     void read_response();
@@ -87,10 +87,9 @@
     fiber_event m_event_processed;
     std::unique_ptr<exchange_watch> m_watch;
     std::unique_ptr<client_connection> m_connection;
+    std::optional<message_writer> m_writer;
     std::optional<response_reader> m_reader;
     bool m_response_has_id = false; ///< the response names the request that it belongs to
-    bool m_request_body_sent =
-        true; ///< the whole request has been written to the target's connection
     fiber_group m_body_sender;
     outcome::stored_answer_ptr
         m_buffered_response; ///< the target's complete response, if it is small
--- a/testing/raw_target.cc
+++ b/testing/raw_target.cc
@@ -2,6 +2,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
 
 namespace pomelohead::testing {
@@ -50,6 +54,15 @@
     m_fibers.wait();
 }
 
+void raw_target::keep_buffers_small()
+{
+    constexpr int max_receive_bytes = 4096;
+    constexpr int max_segment_bytes = 536;
+    using segment_size = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(max_receive_bytes));
+    m_acceptor.set_option(segment_size(max_segment_bytes));
+}
+
 void raw_target::accept()
 {
     while (!m_stopped) {
@@ -125,6 +138,7 @@
         socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
     if (reply.m_before_body && !error) {
+        sleep_for(reply.m_pause);
         read_body();
     }
     return !error && !reply.m_close && !reply.m_reset;
--- a/testing/raw_target.h
+++ b/testing/raw_target.h
@@ -30,7 +30,7 @@
     duration m_delay{};          ///< before the bytes
     bool m_before_body = false;  ///< sent without reading the request's body
     std::string m_without_end{}; ///< written after m_bytes until the peer closes the connection
-    duration m_pause{};          ///< between two repetitions of it
+    duration m_pause{};          ///< between two repetitions of it, or before that body is read
     /// Ends the connection after so many; only bounds a test that would not end otherwise.
     std::size_t m_max_repetitions = 5'000;
 };
@@ -45,6 +45,10 @@
     raw_target& operator=(const raw_target&) = delete;
     ~raw_target();
 
+    /// Lets the sockets between a node and the target take less than a piece of a body, on
+    /// connections that are opened from now on.
+    void keep_buffers_small();
+
     script_fn m_script;
     [[nodiscard]] const std::vector<raw_request>& requests() const { return m_requests; }
     [[nodiscard]] std::size_t most_at_once() const { return m_most_at_once; }
