An exception ends its own request, not the process

Callers saw a node end with SIGABRT, and all that it had accepted lost, whenever a library threw in one request: fibers, timers and handlers had no outermost catch, and the scheduler runs handlers in a noexcept function.

guarded_call() is the outermost frame of each fiber, timer callback, turn of the event loop, request and attempt. It logs the exception's text as fiber_failed, timer_failed, handler_failed or request_failed. A request that fails is ended by the state machines, so that its slot is released and its caller told: not run before the handover, else unknown, with the new cause "internal-error". A periodic timer goes on. The owner decides on a slot with the facts it has just collected: between the grant and the event nothing can throw.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -57,6 +57,14 @@
     }
 }
 
+void entry_attempt::fail()
+{
+    if (!m_abandoned && !m_ended) {
+        m_connection.reset();
+        report_connection_lost({}, cause::internal_error);
+    }
+}
+
 // Whether the body is sent only once the owner has a slot.
 bool entry_attempt::uses_expect_continue() const
 {
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -35,6 +35,9 @@
     /// Runs until the first bytes of the response have been read or the attempt has failed.
     void run();
 
+    /// Reports the attempt as lost after an exception has left run().
+    void fail();
+
     /// Closes the connection; run() returns soon afterwards.
     void abandon();
 
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -2,6 +2,7 @@
 
 #include "pomelohead/forwarding/headers.h"
 #include "pomelohead/forwarding/unanswered_request.h"
+#include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::forwarding {
@@ -82,6 +83,19 @@
     record_unanswered(m_service.m_stats, {m_request_id, phase, request_side::caller, why});
 }
 
+void entry_exchange::fail()
+{
+    m_exchange.close_after();
+    for (const auto& attempt : m_attempts) {
+        attempt->abandon();
+    }
+    if (!m_exchange.answered() && !m_state.m_finished) {
+        send_conclusion(outcome::conclude(m_state, cause::internal_error));
+    }
+    m_watch.reset();
+    m_fibers.wait();
+}
+
 bool entry_exchange::read_caller_headers()
 {
     const http::header<true>& head = m_exchange.request().head();
@@ -358,7 +372,11 @@
     auto attempt =
         std::make_shared<entry_attempt>(m_service, m_request, m_attempts.size(), std::move(target));
     m_attempts.push_back(attempt);
-    m_fibers.spawn([attempt] { attempt->run(); });
+    m_fibers.spawn([attempt] {
+        if (!guarded_call("request_failed", [&] { attempt->run(); })) {
+            attempt->fail();
+        }
+    });
 }
 
 void entry_exchange::forward_response(std::size_t index)
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -27,6 +27,9 @@
     /// Records the request if its connection ends without a complete response. For use after run().
     void record_if_unanswered() const;
 
+    /// Ends the request after an exception has left run().
+    void fail();
+
 private:
     bool find_route();
     bool read_caller_headers();
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -2,6 +2,7 @@
 
 #include "pomelohead/forwarding/entry_exchange.h"
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/runtime/guarded_call.h"
 
 #include <set>
 
@@ -61,7 +62,9 @@
     }
     else {
         entry_exchange request(*this, exchange);
-        request.run();
+        if (!guarded_call("request_failed", [&] { request.run(); })) {
+            guarded_call("request_failed", [&] { request.fail(); });
+        }
         request.record_if_unanswered();
     }
     m_callbacks.m_on_request_ended();
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -1,5 +1,6 @@
 #include "pomelohead/forwarding/http_server.h"
 
+#include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -389,8 +390,14 @@
     // A request whose method is not safe is not started while an earlier response may still close
     // the connection: the caller would then send it again.
     const bool is_ready = is_safe(request.head().method()) || exchange.wait_for_response_turn(why);
-    if (is_ready) {
-        m_handler(exchange);
+    if (is_ready && !guarded_call("request_failed", [&] { m_handler(exchange); })) {
+        exchange.close_after();
+        if (!exchange.answered()) {
+            http::header<false> head;
+            head.result(http::status::internal_server_error);
+            head.set("Pomelohead-Outcome", "unknown");
+            exchange.respond(head, {}, clock_type::now() + response_write_timeout, why);
+        }
     }
     return finish(c, number, !is_ready || !exchange.is_answered() || exchange.must_close());
 }
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -106,6 +106,18 @@
     record_unanswered(m_service.m_stats, {m_request_id, phase, request_side::owner, why});
 }
 
+void owner_exchange::fail()
+{
+    m_exchange.close_after();
+    const bool is_before_handover = outcome::is_before_handover(m_state.m_phase);
+    process_event(
+        {.m_kind = is_before_handover ? owner_event_kind::refused : owner_event_kind::target_lost,
+         .m_cause = cause::internal_error});
+    m_watch.reset();
+    m_body_sender.wait();
+    run_actions();
+}
+
 void owner_exchange::reevaluate()
 {
     if (m_target) {
@@ -271,7 +283,8 @@
 
 void owner_exchange::request_slot()
 {
-    if (const auto why = outcome::refusal_cause(current_facts())) {
+    const outcome::handover_conditions facts = current_facts();
+    if (const auto why = outcome::refusal_cause(facts)) {
         process_event({.m_kind = owner_event_kind::refused, .m_cause = *why});
     }
     if (m_state.m_phase == owner_phase::finished) {
@@ -291,7 +304,7 @@
              }});
     switch (decision.m_verdict) {
     case admission::verdict::start:
-        process_event({.m_kind = owner_event_kind::slot_granted, .m_facts = current_facts()});
+        process_event({.m_kind = owner_event_kind::slot_granted, .m_facts = facts});
         return;
     case admission::verdict::queued:
         process_event({.m_kind = owner_event_kind::queued});
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -2,6 +2,7 @@
 
 #include "pomelohead/forwarding/headers.h"
 #include "pomelohead/forwarding/owner_exchange.h"
+#include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
 #include <random>
@@ -85,7 +86,9 @@
     else {
         owner_exchange request(*this, exchange);
         m_exchanges.insert(&request);
-        request.run();
+        if (!guarded_call("request_failed", [&] { request.run(); })) {
+            guarded_call("request_failed", [&] { request.fail(); });
+        }
         request.record_if_unanswered();
         m_exchanges.erase(&request);
     }
--- a/pomelohead/outcome/outcome.cc
+++ b/pomelohead/outcome/outcome.cc
@@ -48,6 +48,7 @@
     cause_name{cause::target_crashed, "target-crashed"},
     cause_name{cause::truncated_answer, "short-answer"},
     cause_name{cause::mismatched_answer, "foreign-answer"},
+    cause_name{cause::internal_error, "internal-error"},
     cause_name{cause::owner_replaced, "owner-replaced"},
     cause_name{cause::ticket_expired, "ticket-expired"},
     cause_name{cause::already_ran, "already-ran"},
--- a/pomelohead/outcome/outcome.h
+++ b/pomelohead/outcome/outcome.h
@@ -53,6 +53,7 @@
     target_crashed,     ///< the target's process exited with the request in flight
     truncated_answer,   ///< the answer ended before its declared length
     mismatched_answer,  ///< the answer belongs to another request
+    internal_error,     ///< a fault of a node; its log has a line "request_failed"
     owner_replaced,     ///< the ticket names an incarnation of the owner that has ended
     ticket_expired,     ///< the ticket has expired and its outcome is no longer stored
     already_ran,        ///< it ran, but its answer is not stored
--- a/pomelohead/outcome/owner_machine.cc
+++ b/pomelohead/outcome/owner_machine.cc
@@ -6,12 +6,6 @@
 namespace pomelohead::outcome {
 namespace {
 
-bool is_before_handover(owner_phase phase)
-{
-    return phase == owner_phase::arrived || phase == owner_phase::queued ||
-           phase == owner_phase::connecting;
-}
-
 class transition {
 public:
     explicit transition(const owner_state& state) : m_step{state, {}} {}
@@ -196,6 +190,12 @@
 
 } // namespace
 
+bool is_before_handover(owner_phase phase)
+{
+    return phase == owner_phase::arrived || phase == owner_phase::queued ||
+           phase == owner_phase::connecting;
+}
+
 std::optional<cause> refusal_cause(const handover_conditions& facts)
 {
     if (facts.m_deadline_passed) {
--- a/pomelohead/outcome/owner_machine.h
+++ b/pomelohead/outcome/owner_machine.h
@@ -107,6 +107,9 @@
     bool operator==(const owner_step&) const = default;
 };
 
+/// Whether the target has been sent no byte of the request.
+[[nodiscard]] bool is_before_handover(owner_phase phase);
+
 /// The cause for which a request with these facts is refused; nullopt if it may proceed.
 [[nodiscard]] std::optional<cause> refusal_cause(const handover_conditions& facts);
 
--- a/pomelohead/runtime/asio_timer_service.cc
+++ b/pomelohead/runtime/asio_timer_service.cc
@@ -1,5 +1,7 @@
 #include "pomelohead/runtime/asio_timer_service.h"
 
+#include "pomelohead/runtime/guarded_call.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace pomelohead {
@@ -24,7 +26,7 @@
         if (error || state->m_cancelled) {
             return;
         }
-        state->m_callback();
+        guarded_call("timer_failed", state->m_callback);
         if (state->m_period > duration::zero() && !state->m_cancelled) {
             // Counting from now, not from the last expiry, makes a late wake-up
             // after a freeze one call and not a burst of missed ones.
--- a/pomelohead/runtime/fiber.cc
+++ b/pomelohead/runtime/fiber.cc
@@ -5,6 +5,8 @@
 // the "embedded main loop" of Boost.Fiber's documentation on Asio integration.
 #include "pomelohead/runtime/fiber.h"
 
+#include "pomelohead/runtime/guarded_call.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
@@ -45,6 +47,17 @@
     [[nodiscard]] bool has_ready_fibers() const noexcept override { return !m_ready.empty(); }
 
     void suspend_until(const time_point& until) noexcept override
+    {
+        guarded_call("handler_failed", [&] { run_handlers(until); });
+    }
+
+    void notify() noexcept override
+    {
+        boost::asio::post(m_io, [] {});
+    }
+
+private:
+    void run_handlers(const time_point& until)
     {
         const std::size_t handled =
             until == time_point::max() ? m_io.run_one() : m_io.run_one_until(until);
@@ -55,12 +68,6 @@
         }
     }
 
-    void notify() noexcept override
-    {
-        boost::asio::post(m_io, [] {});
-    }
-
-private:
     // The thread's last fibers end after its main function has returned.
     std::shared_ptr<boost::asio::io_context> m_owned;
     boost::asio::io_context& m_io;
@@ -86,7 +93,8 @@
 
 void spawn_detached(std::function<void()> body)
 {
-    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, stacks(), std::move(body))
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, stacks(),
+                         [body = std::move(body)] { guarded_call("fiber_failed", body); })
         .detach();
 }
 
@@ -99,7 +107,7 @@
 {
     ++m_running;
     spawn_detached([this, body = std::move(body)] {
-        body();
+        guarded_call("fiber_failed", body);
         --m_running;
         if (m_running == 0) {
             m_ended.notify_all();
--- a/pomelohead/runtime/fiber.h
+++ b/pomelohead/runtime/fiber.h
@@ -35,7 +35,8 @@
 /// the thread. Call once in a thread, before any fiber starts.
 boost::asio::io_context& install_fiber_scheduler();
 
-/// Starts a fiber of the calling thread that nobody waits for.
+/// Starts a fiber of the calling thread that nobody waits for. An exception that leaves `body` is
+/// logged and ends the fiber, no other.
 void spawn_detached(std::function<void()> body);
 
 /// Lets other fibers run for `delay`.
@@ -73,7 +74,7 @@
     fiber_group& operator=(const fiber_group&) = delete;
     ~fiber_group() { wait(); }
 
-    /// Starts a fiber that belongs to the group.
+    /// Starts a fiber that belongs to the group, as spawn_detached() does.
     void spawn(std::function<void()> body);
 
     /// Suspends the calling fiber until all fibers of the group have ended.
