A node that has no memory for more fibers refuses requests and lives on

Callers saw: under a limit of 110 MB on its address space (RLIMIT_AS), a node with 120 clients at once ends with SIGABRT, "terminate called after throwing an instance of 'std::bad_alloc'", at a resident size of 10 to 20 MB; all that it had accepted has no answer. At 260 MB it holds with 400 clients.

Cause: stacks of fibers came from a pool that doubles its chunk each time it grows; one that was refused threw out of a handler of the event loop, where nothing can catch it.

A server takes a request only while stacks are left for what the requests in progress need: it closes the connection of one that it can't take, unread, so that its caller may send it again. An attempt that has no stack is not made, and its request is answered as not run.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -331,6 +331,11 @@
         }
         m_service.m_stats.add("hedges_total");
     }
+    if (!can_start_fibers(1)) {
+        m_detail = "no memory for the fiber of an attempt";
+        process_event({.m_kind = entry_event_kind::no_owner});
+        return;
+    }
     if (m_ticket) {
         // Tickets come from callers; connect only to known hosts of the mesh.
         if (!m_service.m_callbacks.m_is_host(m_ticket->m_address)) {
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -9,6 +9,10 @@
 namespace pomelohead::forwarding {
 namespace {
 
+// Requests from callers leave fibers for what they need further: those that are taken in one turn
+// of the event loop have up to three each, for an attempt, the owner's side and a body.
+constexpr std::size_t spare_fibers = 192;
+
 constexpr std::size_t max_idle_per_owner = 64;
 // Twice the round trip to another region (35 ms each way), so that a call to an unreachable host
 // has time left for another owner.
@@ -30,8 +34,10 @@
           return m_callbacks.m_is_alive(t.m_host) &&
                  !m_lost_hosts.is_unreachable(t.m_host, m_timers.now());
       }),
-      m_server(io, m_options.m_listen, {.m_head = {}, .m_pipelining = m_options.m_pipelining},
-               [this](server_exchange& e) { serve(e); })
+      m_server(
+          io, m_options.m_listen,
+          {.m_head = {}, .m_pipelining = m_options.m_pipelining, .m_spare_fibers = spare_fibers},
+          [this](server_exchange& e) { serve(e); })
 {
 }
 
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -278,7 +278,8 @@
 void http_server::read_ahead(detail::server_connection& c, std::uint64_t number)
 {
     if (m_closing || c.m_started_requests != number || c.m_ended ||
-        number - c.m_finished_requests > max_pipelined) {
+        number - c.m_finished_requests > max_pipelined ||
+        !can_start_fibers(m_options.m_spare_fibers)) {
         return;
     }
     const auto position =
@@ -306,6 +307,13 @@
                 m_open.erase(position);
                 return;
             }
+            if (!can_start_fibers(m_options.m_spare_fibers)) {
+                // Nothing of the request has been read, so its caller may send it again.
+                log_request(log_level::warning, "connection_closed",
+                            {{"why", "no memory for the fiber of a request"}});
+                m_open.erase(position);
+                return;
+            }
             ++woken.m_serving_fibers;
             m_fibers.spawn(
                 [this, position, next = ++woken.m_started_requests] { serve(position, next); });
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -47,6 +47,8 @@
     duration m_idle_limit = std::chrono::seconds(75); ///< between exchanges on one connection
     head_limits m_head;
     bool m_pipelining = false;
+    /// Fibers that have to be left, for other work of the node, where a request is taken.
+    std::size_t m_spare_fibers = 32;
 };
 
 class http_server;
--- a/pomelohead/runtime/fiber.cc
+++ b/pomelohead/runtime/fiber.cc
@@ -5,6 +5,7 @@
 // the "embedded main loop" of Boost.Fiber's documentation on Asio integration.
 #include "pomelohead/runtime/fiber.h"
 
+#include "pomelohead/runtime/fiber_stack.h"
 #include "pomelohead/runtime/guarded_call.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -12,7 +13,6 @@
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
-#include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/fiber/scheduler.hpp>
 
 #include <memory>
@@ -20,8 +20,6 @@
 namespace pomelohead {
 namespace {
 
-constexpr std::size_t fiber_stack_bytes = 128UL * 1024UL;
-
 // Handlers run at one go before ready fibers get their turn.
 constexpr int max_handlers_per_turn = 64;
 
@@ -75,9 +73,9 @@
     boost::fibers::scheduler::ready_queue_type m_ready;
 };
 
-boost::fibers::pooled_fixedsize_stack& stacks()
+fiber_stack_pool& stacks()
 {
-    static boost::fibers::pooled_fixedsize_stack pool(fiber_stack_bytes);
+    static fiber_stack_pool pool(default_max_fiber_stacks());
     return pool;
 }
 
@@ -93,11 +91,17 @@
 
 void spawn_detached(std::function<void()> body)
 {
-    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, stacks(),
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                         fiber_stack_allocator(stacks()),
                          [body = std::move(body)] { guarded_call("fiber_failed", body); })
         .detach();
 }
 
+bool can_start_fibers(std::size_t count)
+{
+    return stacks().reserve(count);
+}
+
 void sleep_for(duration delay)
 {
     boost::this_fiber::sleep_for(delay);
@@ -105,7 +109,6 @@
 
 void fiber_group::spawn(std::function<void()> body)
 {
-    ++m_running;
     spawn_detached([this, body = std::move(body)] {
         guarded_call("fiber_failed", body);
         --m_running;
@@ -113,6 +116,7 @@
             m_ended.notify_all();
         }
     });
+    ++m_running; // the fiber starts later, and not at all if spawn_detached() throws
 }
 
 void fiber_group::wait()
--- a/pomelohead/runtime/fiber.h
+++ b/pomelohead/runtime/fiber.h
@@ -36,9 +36,13 @@
 boost::asio::io_context& install_fiber_scheduler();
 
 /// Starts a fiber of the calling thread that nobody waits for. An exception that leaves `body` is
-/// logged and ends the fiber, no other.
+/// logged and ends the fiber, no other. Throws std::bad_alloc if there is no memory for its stack.
 void spawn_detached(std::function<void()> body);
 
+/// Whether there is memory for the stacks of `count` more fibers. Work that can be refused asks
+/// first, and leaves some for work that cannot.
+[[nodiscard]] bool can_start_fibers(std::size_t count);
+
 /// Lets other fibers run for `delay`.
 void sleep_for(duration delay);
 
