Requests that wait to be accepted when the listener closes are served

They had not been passed on, so that no promise was broken; their callers had to come again.

Cause: closing the listener resets the connections in the system's queue, and a connection that was accepted at that moment was dropped, whatever their callers had sent.

Change: close_listener() accepts what waits before it closes; connections without bytes are closed, the others are served like those that were open.

The test failed without the change: check node.receive().m_status == 200U has failed [0 != 200]

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -26,10 +26,10 @@
 constexpr std::uint64_t max_pipelined = 16;
 
 // Whether the peer has sent bytes that have not been read.
-bool has_bytes(detail::server_connection& c)
+bool has_bytes(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
-    return ::recv(c.m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 bool is_safe(http::verb method)
@@ -258,17 +258,34 @@
         boost::asio::ip::tcp::socket socket(m_io);
         const auto [error] = await<error_code>(
             [&](auto handler) { m_acceptor.async_accept(socket, std::move(handler)); });
-        if (m_listener_closed) {
-            return;
+        if (!error && !(m_listener_closed && !has_bytes(socket))) {
+            admit(std::move(socket));
         }
-        if (error) {
+        else if (!m_listener_closed) {
             sleep_for(accept_retry_delay);
-            continue;
         }
-        error_code ignored;
-        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        m_open.push_back(std::make_shared<connection>(std::move(socket)));
-        wait_idle(std::prev(m_open.end()));
+    }
+}
+
+void http_server::admit(boost::asio::ip::tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    m_open.push_back(std::make_shared<connection>(std::move(socket)));
+    wait_idle(std::prev(m_open.end()));
+}
+
+// Callers whose connections wait in the system's queue may have sent their requests.
+void http_server::accept_waiting()
+{
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error && m_open.size() < m_options.m_max_connections) {
+        boost::asio::ip::tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            admit(std::move(socket));
+        }
     }
 }
 
@@ -325,7 +342,7 @@
 {
     const time_point oldest = clock_type::now() - m_options.m_idle_limit;
     std::erase_if(m_open, [oldest](const auto& c) {
-        return c->m_is_idle && c->m_idle_since < oldest && !has_bytes(*c);
+        return c->m_is_idle && c->m_idle_since < oldest && !has_bytes(c->m_stream.socket());
     });
     m_idle_check.expires_after(idle_check_period);
     m_idle_check.async_wait([this](error_code error) {
@@ -460,11 +477,13 @@
     }
     m_listener_closed = true;
     m_closing = true;
+    accept_waiting();
     error_code ignored;
     m_acceptor.close(ignored);
     m_idle_check.cancel();
     // A request whose first bytes have arrived is still served.
-    std::erase_if(m_open, [](const auto& c) { return c->m_is_idle && !has_bytes(*c); });
+    std::erase_if(m_open,
+                  [](const auto& c) { return c->m_is_idle && !has_bytes(c->m_stream.socket()); });
     for (const auto& c : m_open) {
         const bool is_idle =
             c->m_is_reading_head && c->m_started_requests == c->m_finished_requests + 1;
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -181,7 +181,8 @@
     [[nodiscard]] bool is_closing() const { return m_closing; }
     [[nodiscard]] bool is_listener_closed() const { return m_listener_closed; }
 
-    /// Stops accepting connections and closes those that are between exchanges. Idempotent.
+    /// Stops accepting connections and closes those that are between exchanges; requests that have
+    /// arrived are still served. Idempotent.
     void close_listener();
 
     /// Waits until no connection is left. close_listener() must have been called.
@@ -201,6 +202,8 @@
     using connection_list = std::list<std::shared_ptr<connection>>;
 
     void accept_loop();
+    void admit(boost::asio::ip::tcp::socket socket);
+    void accept_waiting();
     void wait_idle(connection_list::iterator position);
     void close_idle();
     void serve(connection_list::iterator position, std::uint64_t number);
