An owner takes heads as large as the configuration allows

Callers saw: 503 for a request whose head is close to the configured limit of heads, or above 16 KiB where the configuration allows more.

Cause: the server of the owners kept the default limit of 16 KiB, whatever the configuration says, and an entry adds fields of its own. The owner refused the head without an outcome, and the entry gave its attempts up.

Evidence: before, the new test failed at both of its limits, "[503 != 200]".

Change: an owner allows what the configuration allows to callers, and 4 KiB more for the entry's fields.

--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -10,6 +10,10 @@
 namespace pomelohead::forwarding {
 namespace {
 
+// What an entry adds to the head of its caller's request: names of the route, the account and the
+// target, a ticket, a digest and figures.
+constexpr std::size_t max_entry_header_bytes = 4UL * 1024UL;
+
 constexpr duration response_write_timeout = std::chrono::seconds(10);
 
 std::uint64_t random_u64()
@@ -52,6 +56,10 @@
 
 void owner_service::apply(const config::snapshot& config)
 {
+    const server_options defaults;
+    m_server.set_limits(defaults.m_idle_limit,
+                        config.m_limits.m_max_header_bytes + max_entry_header_bytes,
+                        defaults.m_head.m_rest);
     std::map<std::string, std::shared_ptr<owned_target>> retained;
     for (const config::service& service : config.m_services) {
         for (const config::target& target : service.m_targets) {
