A settings file without a service does not take the service of a running node

Callers would have seen: requests that reach targets with an empty name of the calling service, for the seconds until the file is read again, where a node reads its settings file while it is written.

Evidence: with the check taken out, test_settings_reload_with_and_without_signal fails where the file without the service has been read.

Change: a reload takes a service that is named, and keeps the one in use otherwise.

--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -136,7 +136,9 @@
     }
     const bool is_store_changed =
         m_catalog && changed.m_store && changed.m_store != m_settings.m_store;
-    const bool is_service_changed = changed.m_service != m_settings.m_service;
+    // A file that names no service may have been read while it was written.
+    const bool is_service_changed =
+        !changed.m_service.empty() && changed.m_service != m_settings.m_service;
     settings::node_settings taken = m_settings;
     if (is_store_changed) {
         taken.m_store = changed.m_store;
--- a/testing/platform_test.py
+++ b/testing/platform_test.py
@@ -226,6 +226,12 @@
         ran = [r for b in self.back_ends.values() for r in b.runs
                if r["Pomelohead-Attempt-Id"] == "after"]
         self.assertEqual(ran[0]["Pomelohead-Caller-Service"], "other")
+        path.write_text(text.replace("service=caller\n", ""), "utf-8")
+        self.wait(lambda: '"setting_ignored"' in self.log(1), "the file without a service is read")
+        self.assertEqual(self.call(1, identity="half-written")[0], 200)
+        ran = [r for b in self.back_ends.values() for r in b.runs
+               if r["Pomelohead-Attempt-Id"] == "half-written"]
+        self.assertEqual(ran[0]["Pomelohead-Caller-Service"], "other")
         path.write_text("nonsense", "utf-8")
         self.wait(lambda: '"settings_refused"' in self.log(1), "the fault is reported")
         self.assertEqual(self.call(1)[0], 200)
