A request that is withdrawn before it hears of its grant leaves its slot

Callers would have seen: a target that takes fewer requests than it has slots, down to none, until its node starts again.

Cause: the queue grants several slots at once and the requests hear of it one after another. What ends a later one meanwhile (a freeze that is noticed at the first grant, an entry that leaves) withdrew it from a queue that it was no longer in: its slot stayed taken, and its callback stayed entered after its exchange was gone.

Evidence: before, the new test printed "Collections size mismatch: 2 != 1" and "running() == 2U has failed [3 != 2]".

Change: withdraw() drops the callback in any case and gives a granted slot back.

--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -53,8 +53,10 @@
 
 void owned_target::withdraw(std::uint64_t id)
 {
-    if (m_queue.withdraw(id)) {
-        m_queued_callbacks.erase(id);
+    m_queued_callbacks.erase(id);
+    if (!m_queue.withdraw(id)) {
+        // It has been granted a slot and not been notified.
+        add_grants(m_queue.finish(id, m_timers.now(), admission::request_end::aborted));
     }
     if (m_isolated_id == id) {
         m_isolated_id = 0;
--- a/pomelohead/forwarding/owned_target_test.cc
+++ b/pomelohead/forwarding/owned_target_test.cc
@@ -102,4 +102,33 @@
     }
 }
 
+// Guards against a slot that is lost for good: its request ends between the grant and the callback.
+BOOST_AUTO_TEST_CASE(request_withdrawn_before_it_hears_of_its_grant_leaves_its_slot)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        testing::manual_timer_service timers;
+        owned_target target(io, timers, make_target(1),
+                            {.m_deadline_admission = false, .m_slow_start = false});
+        std::vector<std::uint64_t> granted;
+        const auto offer = [&](std::uint64_t id) {
+            admission::request_facts facts;
+            facts.m_id = id;
+            facts.m_deadline = timers.now() + 1h;
+            const slot_callbacks callbacks{.m_granted =
+                                               [&granted, &target, id] {
+                                                   granted.push_back(id);
+                                                   target.withdraw(3);
+                                               },
+                                           .m_refused = [](milliseconds) {}};
+            return target.offer(facts, false, callbacks).m_verdict;
+        };
+        BOOST_TEST((offer(1) == admission::verdict::start));
+        BOOST_TEST((offer(2) == admission::verdict::queued));
+        BOOST_TEST((offer(3) == admission::verdict::queued));
+        target.update(make_target(3), {});
+        BOOST_TEST(granted == std::vector<std::uint64_t>{2}, boost::test_tools::per_element());
+        BOOST_TEST(target.queue().running() == 2U);
+    });
+}
+
 } // namespace pomelohead::forwarding
