Exceptions leave no connection, accept loop or other request behind

Found by the review: an exception that is caught at the outermost frame could leave a connection that nobody serves, end the accept loop while the node stays ready, or leave the call of another request, whose callback had only been notified from there; and a log line that finds no memory left guarded_call() itself.

Change: each request of a connection, each accepted connection and each notification of the queue is guarded by itself; the record of an unanswered request too, so that counts are kept. guarded_call() drops its line if there is no memory for it. By reading; no test throws at these places.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -258,10 +258,10 @@
         boost::asio::ip::tcp::socket socket(m_io);
         const auto [error] = await<error_code>(
             [&](auto handler) { m_acceptor.async_accept(socket, std::move(handler)); });
-        if (!error && !(m_listener_closed && !has_bytes(socket))) {
-            admit(std::move(socket));
+        if (m_listener_closed && (error || !has_bytes(socket))) {
+            return;
         }
-        else if (!m_listener_closed) {
+        if (error || !guarded_call("accept_failed", [&] { admit(std::move(socket)); })) {
             sleep_for(accept_retry_delay);
         }
     }
@@ -356,7 +356,11 @@
 {
     const std::shared_ptr<connection> c = *position;
     while (number != 0) {
-        number = serve_one(*c, number);
+        std::uint64_t next = 0;
+        if (!guarded_call("request_failed", [&] { next = serve_one(*c, number); })) {
+            detail::end_connection(*c);
+        }
+        number = next;
     }
     if (--c->m_serving_fibers > 0) {
         return;
--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -1,5 +1,6 @@
 #include "pomelohead/forwarding/owned_target.h"
 
+#include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
 namespace pomelohead::forwarding {
@@ -115,12 +116,15 @@
     if (!callbacks) {
         return;
     }
-    if (first.m_retry_after) {
-        callbacks.mapped().m_refused(*first.m_retry_after);
-    }
-    else {
-        callbacks.mapped().m_granted();
-    }
+    // An exception of one request must not leave the call of another.
+    guarded_call("request_failed", [&] {
+        if (first.m_retry_after) {
+            callbacks.mapped().m_refused(*first.m_retry_after);
+        }
+        else {
+            callbacks.mapped().m_granted();
+        }
+    });
 }
 
 // A callback may release its slot at once, which grants the next request. The call for that one is
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -97,7 +97,7 @@
         if (!guarded_call("request_failed", [&] { request.run(); })) {
             guarded_call("request_failed", [&] { request.fail(); });
         }
-        request.record_if_unanswered();
+        guarded_call("request_failed", [&] { request.record_if_unanswered(); });
         m_exchanges.erase(&request);
     }
     m_callbacks.m_on_request_ended();
--- a/pomelohead/runtime/guarded_call.cc
+++ b/pomelohead/runtime/guarded_call.cc
@@ -15,7 +15,12 @@
         return true;
     }
     catch (const std::exception& error) {
-        log_event(log_level::error, event, {{"why", error.what()}});
+        try {
+            log_event(log_level::error, event, {{"why", error.what()}});
+        }
+        catch (const std::exception&) {
+            // There may be no memory for the line either.
+        }
         return false;
     }
 }
