What a node knows, and for how long bytes lay unread, in logs and metrics

- store_call_failed for each failed call, with the pause that follows; configuration_outdated and configuration_current when a node passes its bound without news; config_age_ms in the line of a request, and the gauge config_known_age_seconds.
- Answers say up to which time they tell all changes; a relay says it in a header of its answers.
Nothing is decided by it yet.
- caller_left and callers_left_total; unread_ms in the lines of entry and owner, from TCP_INFO.
- Calls to relays stand behind an interface and the clock behind a hook, so that the sums of waits can be played on virtual time.

No decision is changed. The tests of discovery, source, forwarding, platform, node, outcome and lifecycle pass.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -62,9 +62,8 @@
 {
     const auto open_part = [&](followed_part& part, source::store_part which) {
         part.m_store = std::make_shared<relayed_store>(
-            m_io, open(which),
-            relayed_store_options{which, m_options.m_address, m_options.m_relay_port,
-                                  m_options.m_timing},
+            open(which), std::make_unique<http_relay_client>(m_io, m_options.m_relay_port),
+            relayed_store_options{which, m_options.m_address, m_options.m_timing},
             part.m_relay_selector);
     };
     open_part(m_configuration, source::store_part::configuration);
@@ -142,6 +141,13 @@
                    {"key", key},
                    {"ms", std::chrono::duration_cast<milliseconds>(grace_left).count()}});
     };
+    hooks.m_on_call_failed = [&part](const reason& why, duration pause) {
+        log_event(log_level::info, "store_call_failed",
+                  {{"part", part.m_name},
+                   {"code", to_string(why.m_code)},
+                   {"why", why.m_text},
+                   {"retry_ms", std::chrono::duration_cast<milliseconds>(pause).count()}});
+    };
     hooks.m_on_contact_regained = [&part] {
         log_event(log_level::info, "store_reached", {{"part", part.m_name}});
     };
@@ -167,6 +173,7 @@
 void catalog::update_relay_status(followed_part& part)
 {
     const source::follower_status& status = part.m_follower->status();
+    part.m_relay.set_as_of(status.m_as_of);
     if (!status.m_up || !status.m_listed) {
         part.m_relay.set_feed(source::relay_feed::none);
     }
@@ -261,6 +268,12 @@
            (contacted_since(m_configuration) && contacted_since(m_registrations));
 }
 
+std::optional<duration> catalog::configuration_age() const
+{
+    const std::optional<time_point>& as_of = m_configuration.m_follower->status().m_as_of;
+    return as_of ? std::optional(m_timers.now() - *as_of) : std::nullopt;
+}
+
 void catalog::stop()
 {
     m_stopped = true;
--- a/pomelohead/discovery/catalog.h
+++ b/pomelohead/discovery/catalog.h
@@ -67,6 +67,10 @@
 
     void stop();
 
+    /// Returns how long ago this node knew all versions of the configuration; nullopt before the
+    /// first list.
+    [[nodiscard]] std::optional<duration> configuration_age() const;
+
     /// Null before the first configuration.
     [[nodiscard]] config::snapshot_ptr current() const { return m_snapshot_builder.current(); }
     [[nodiscard]] const reason& last_refusal() const { return m_snapshot_builder.last_refusal(); }
--- a/pomelohead/discovery/relay_server.cc
+++ b/pomelohead/discovery/relay_server.cc
@@ -68,11 +68,14 @@
 }
 
 void relay_server::answer(forwarding::server_exchange& exchange, unsigned status,
-                          const std::string& body)
+                          const std::string& body, std::optional<milliseconds> as_of)
 {
     forwarding::http::header<false> head;
     head.result(status);
     head.set(forwarding::http::field::content_type, "application/cbor");
+    if (as_of) {
+        head.set(as_of_header, std::to_string(as_of->count()));
+    }
     reason why;
     exchange.respond(std::move(head), body, clock_type::now() + answer_timeout, why);
 }
@@ -134,6 +137,7 @@
 void relay_server::serve_part(forwarding::server_exchange& exchange, const std::string& target,
                               const served_part& part)
 {
+    const time_point received = clock_type::now();
     const auto refer = [&](unsigned status) {
         referral hints{{}, part.m_relay_selector.relays()};
         const auto followed = part.m_relay_selector.choose(clock_type::now());
@@ -178,7 +182,11 @@
         return answer(exchange, status_gone, {});
     }
     changes->m_relays = part.m_relay_selector.relays();
-    answer(exchange, status_ok, source::encode(*changes));
+    std::optional<milliseconds> as_of;
+    if (part.m_relay.as_of()) {
+        as_of = std::chrono::floor<milliseconds>(*part.m_relay.as_of() - received);
+    }
+    answer(exchange, status_ok, source::encode(*changes), as_of);
 }
 
 } // namespace pomelohead::discovery
--- a/pomelohead/discovery/relay_server.h
+++ b/pomelohead/discovery/relay_server.h
@@ -14,6 +14,9 @@
 // again); 409 and a referral if this node does not relay the part and will hardly do so; 502 and a
 // referral if it has lost the store; 503 and a referral if it is able to relay, but another node
 // does at present.
+//
+// Responses with changes state up to which time the node knows all changes, as the time since the
+// request arrived: a relay that answers may be behind itself.
 #pragma once
 
 #include "pomelohead/discovery/referral.h"
@@ -28,6 +31,10 @@
 /// Path of the page that refers starting nodes.
 inline constexpr std::string_view members_path = "/relay/members";
 
+/// Header of responses with changes: up to when the relay knows all changes, in milliseconds since
+/// it received the request; negative if that was earlier.
+inline constexpr std::string_view as_of_header = "Pomelohead-As-Of-Ms";
+
 /// Returns the URL path of a part.
 [[nodiscard]] std::string relay_path(source::store_part part);
 
@@ -67,7 +74,8 @@
     void serve_members(forwarding::server_exchange& exchange, const std::string& target);
     void serve_part(forwarding::server_exchange& exchange, const std::string& target,
                     const served_part& part);
-    void answer(forwarding::server_exchange& exchange, unsigned status, const std::string& body);
+    void answer(forwarding::server_exchange& exchange, unsigned status, const std::string& body,
+                std::optional<milliseconds> as_of = std::nullopt);
     /// Waits until `is_done`, the caller disconnects, or `limit` has passed.
     void wait_until(forwarding::server_exchange& exchange, duration limit,
                     const std::function<bool()>& is_done);
--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -6,6 +6,7 @@
 #include "pomelohead/telemetry/log.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace pomelohead::discovery {
 namespace {
@@ -13,12 +14,9 @@
 using source::store_answer;
 using source::store_status;
 
-// A relay is in the same failure domain.
-constexpr duration connect_timeout = std::chrono::milliseconds(200);
 // How long a node that has nothing yet waits for a relay that is reading the store.
 constexpr duration first_list_limit = std::chrono::milliseconds(1'500);
 constexpr milliseconds max_store_answer_slack{1'500};
-constexpr std::size_t idle_connections = 1;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_declined = 409;
 constexpr unsigned status_gone = 410;
@@ -46,6 +44,20 @@
     return answer;
 }
 
+// Returns up to when a relay that was asked at `sent` knows all changes. Relays of earlier versions
+// do not say it.
+time_point parse_as_of(std::string_view text, time_point sent, time_point now)
+{
+    constexpr std::int64_t max_ms = 3'600'000;
+    std::int64_t since_request_ms = 0;
+    const char* end = text.data() + text.size();
+    if (std::from_chars(text.data(), end, since_request_ms).ptr != end) {
+        since_request_ms = 0;
+    }
+    // The request arrived after it was sent, so that the result is never too late.
+    return std::min(sent + milliseconds(std::clamp(since_request_ms, -max_ms, max_ms)), now);
+}
+
 std::int64_t whole_ms(duration d)
 {
     return std::chrono::duration_cast<milliseconds>(d).count();
@@ -53,24 +65,16 @@
 
 } // namespace
 
-relayed_store::relayed_store(boost::asio::io_context& io,
-                             std::unique_ptr<source::key_value_store> direct,
-                             relayed_store_options options, relay_selector& selector)
-    : m_io(io), m_direct(std::move(direct)), m_options(std::move(options)),
+relayed_store::relayed_store(std::unique_ptr<source::key_value_store> direct,
+                             std::unique_ptr<relay_client> relays, relayed_store_options options,
+                             relay_selector& selector)
+    : m_direct(std::move(direct)), m_relays(std::move(relays)), m_options(std::move(options)),
       m_path(relay_path(m_options.m_part)), m_relay_selector(selector),
       m_answer_limit(m_options.m_timing.m_store_answer_slack, max_store_answer_slack)
 {
 }
 
-relayed_store::pool_ptr relayed_store::pool_of(const std::string& relay) const
-{
-    return relay == m_relay ? m_pool
-                            : std::make_shared<forwarding::connection_pool>(
-                                  m_io, forwarding::endpoint{relay, m_options.m_relay_port},
-                                  idle_connections, connect_timeout);
-}
-
-void relayed_store::switch_to(const std::optional<std::string>& relay, pool_ptr pool)
+void relayed_store::switch_to(const std::optional<std::string>& relay)
 {
     if (m_relay == relay) {
         return;
@@ -78,7 +82,6 @@
     log_event(log_level::info, "feed_chosen",
               {{"path", m_path}, {"from", relay.value_or("store")}});
     m_relay = relay;
-    m_pool = std::move(pool);
 }
 
 store_answer relayed_store::failure(const std::string& relay, const reason& why) const
@@ -91,33 +94,32 @@
     return answer;
 }
 
-store_answer relayed_store::query(forwarding::connection_pool& pool, const std::string& relay,
-                                  const std::string& query, duration limit)
+store_answer relayed_store::query(const std::string& relay, const std::string& query,
+                                  duration limit)
 {
     const std::uint64_t call = ++m_latest_call;
+    const time_point sent = m_options.m_now();
     std::string path = m_path + query;
     if (m_relay_selector.role() == relay_role::preferred) {
         path += "&relay=" + m_options.m_address;
     }
-    reason why{reason_code::cancelled, "the client is closed"};
-    const auto response =
-        m_cancelled ? std::nullopt
-                    : forwarding::http_get(pool, relay, path,
-                                           {.m_deadline = clock_type::now() + limit,
-                                            .m_piece_timeout = m_options.m_timing.m_search,
-                                            .m_max_bytes = source::max_unpacked_bytes},
-                                           m_in_flight, why);
+    reason why;
+    const auto response = m_relays->get(relay, path,
+                                        {.m_deadline = sent + limit,
+                                         .m_piece_timeout = m_options.m_timing.m_search,
+                                         .m_max_bytes = source::max_unpacked_bytes},
+                                        why);
     if (!response) {
-        m_relay_selector.record_failure(relay, clock_type::now());
+        m_relay_selector.record_failure(relay, m_options.m_now());
         return failure(relay, why);
     }
-    return convert(relay, call, *response);
+    return convert(relay, call, sent, *response);
 }
 
-store_answer relayed_store::convert(const std::string& relay, std::uint64_t call,
+store_answer relayed_store::convert(const std::string& relay, std::uint64_t call, time_point sent,
                                     const forwarding::full_response& response)
 {
-    const time_point now = clock_type::now();
+    const time_point now = m_options.m_now();
     reason why;
     if (response.m_status == status_gone) {
         store_answer expired;
@@ -173,6 +175,7 @@
         m_can_resume = !changes->m_complete_revision.is_none();
     }
     m_newest_revision = std::max(m_newest_revision, changes->m_revision);
+    answer->m_as_of = parse_as_of(response.m_fields[as_of_header], sent, now);
     return std::move(*answer);
 }
 
@@ -183,24 +186,23 @@
                                 const std::optional<std::string>& failed_relay)
 {
     const std::string failed_parameter = failed_relay ? "&failed=" + *failed_relay : "";
-    const time_point end = clock_type::now() + limit;
+    const time_point end = m_options.m_now() + limit;
     while (!m_cancelled) {
-        const time_point now = clock_type::now();
+        const time_point now = m_options.m_now();
         const auto relay = m_relay_selector.choose(now);
         if (!relay || now >= end) {
             break;
         }
         // The relay holds the request for part of the time, so that its refusal still arrives.
         const duration hold = (end - now) * 3 / 4;
-        const pool_ptr pool = pool_of(*relay);
         store_answer all =
-            query(*pool, *relay,
+            query(*relay,
                   "?epoch=" + std::to_string(known_revision.m_epoch) +
                       "&known=" + std::to_string(known_revision.m_number) +
                       "&wait_ms=" + std::to_string(whole_ms(hold)) + failed_parameter,
                   end - now);
         if (all.m_status == store_status::ok) {
-            switch_to(relay, pool);
+            switch_to(relay);
             return all;
         }
     }
@@ -232,17 +234,18 @@
 store_answer relayed_store::list_store(const source::list_request& request)
 {
     ++m_latest_call;
-    const time_point due = clock_type::now();
+    const time_point due = m_options.m_now();
     source::list_request limited = request;
     limited.m_limit = m_answer_limit.current();
     store_answer page = m_direct->list(limited);
+    page.m_as_of = due;
     record_delay(page, due);
     return track_revision(std::move(page));
 }
 
 void relayed_store::record_delay(const store_answer& answer, time_point due)
 {
-    const time_point now = clock_type::now();
+    const time_point now = m_options.m_now();
     if (answer.m_status == store_status::failed && answer.m_why.m_code == reason_code::timed_out) {
         m_answer_limit.record_timeout();
     }
@@ -254,7 +257,7 @@
 // Returns how long to watch the store before looking for a relay again.
 milliseconds relayed_store::direct_watch_wait(milliseconds asked) const
 {
-    const time_point now = clock_type::now();
+    const time_point now = m_options.m_now();
     const bool has_no_relay =
         !m_relay_selector.is_relay(now) && !m_relay_selector.time_until_change(now);
     return std::min(asked, has_no_relay ? m_options.m_timing.m_direct_watch_wait
@@ -273,21 +276,23 @@
     }
     // The first watch returns at once: what the relay did not tell any more may be due.
     const milliseconds wait = was_relayed ? milliseconds(0) : direct_watch_wait(request.m_wait);
-    const time_point due = clock_type::now() + wait;
+    const time_point sent = m_options.m_now();
+    const time_point due = sent + wait;
     store_answer changes = m_direct->watch(
         {.m_after = request.m_after, .m_wait = wait, .m_slack = m_answer_limit.current()});
     record_delay(changes, due);
+    // A watch without changes was held for the time asked for, unless it ended early.
+    changes.m_as_of = changes.m_items.empty() && m_options.m_now() >= due ? due : sent;
     return track_revision(std::move(changes));
 }
 
 store_answer relayed_store::watch(const source::watch_request& request)
 {
     std::optional<std::string> failed_relay;
-    const auto chosen = m_relay_selector.choose(clock_type::now());
+    const auto chosen = m_relay_selector.choose(m_options.m_now());
     if (chosen && chosen == m_relay) {
-        const pool_ptr pool = m_pool; // a concurrent call may replace it
         const milliseconds wait = std::min(request.m_wait, m_options.m_timing.m_poll_wait);
-        store_answer changes = query(*pool, *chosen,
+        store_answer changes = query(*chosen,
                                      "?start=" + std::to_string(m_cursor.m_start) +
                                          "&cursor=" + std::to_string(m_cursor.m_number) +
                                          "&wait_ms=" + std::to_string(wait.count()),
@@ -311,9 +316,7 @@
 {
     m_cancelled = true;
     m_direct->cancel();
-    for (forwarding::client_connection* connection : m_in_flight) {
-        connection->m_stream.close();
-    }
+    m_relays->cancel();
 }
 
 } // namespace pomelohead::discovery
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -7,45 +7,45 @@
 // relay with an older revision than the node has received counts as failed, so that values never
 // go back.
 //
-//     relayed_store store(io, open_direct(), options, selector);
+//     relayed_store store(open_direct(), std::make_unique<http_relay_client>(io, port), options,
+//                         selector);
 #pragma once
 
 #include "pomelohead/discovery/answer_limit.h"
+#include "pomelohead/discovery/relay_client.h"
 #include "pomelohead/discovery/relay_selector.h"
 #include "pomelohead/discovery/relay_timing.h"
-#include "pomelohead/forwarding/http_get.h"
 #include "pomelohead/source/key_value.h"
 #include "pomelohead/source/relay.h"
 
+#include <functional>
 #include <memory>
 
 namespace pomelohead::discovery {
 
 struct relayed_store_options {
     source::store_part m_part = source::store_part::configuration;
-    std::string m_address;          ///< of this node
-    std::uint16_t m_relay_port = 0; ///< the same on all nodes
+    std::string m_address; ///< of this node
     relay_timing m_timing;
+    std::function<time_point()> m_now = clock_type::now;
 };
 
 class relayed_store final : public source::key_value_store {
 public:
-    /// `io` and `selector` must outlive the object.
-    relayed_store(boost::asio::io_context& io, std::unique_ptr<source::key_value_store> direct,
-                  relayed_store_options options, relay_selector& selector);
+    /// `selector` must outlive the object.
+    relayed_store(std::unique_ptr<source::key_value_store> direct,
+                  std::unique_ptr<relay_client> relays, relayed_store_options options,
+                  relay_selector& selector);
 
     [[nodiscard]] source::store_answer list(const source::list_request& request) override;
     [[nodiscard]] source::store_answer watch(const source::watch_request& request) override;
     void cancel() override;
 
 private:
-    using pool_ptr = std::shared_ptr<forwarding::connection_pool>;
-
-    [[nodiscard]] pool_ptr pool_of(const std::string& relay) const;
-    [[nodiscard]] source::store_answer query(forwarding::connection_pool& pool,
-                                             const std::string& relay, const std::string& query,
+    [[nodiscard]] source::store_answer query(const std::string& relay, const std::string& query,
                                              duration limit);
     [[nodiscard]] source::store_answer convert(const std::string& relay, std::uint64_t call,
+                                               time_point sent,
                                                const forwarding::full_response& response);
     [[nodiscard]] source::store_answer failure(const std::string& relay, const reason& why) const;
     [[nodiscard]] std::optional<source::store_answer>
@@ -56,17 +56,15 @@
     [[nodiscard]] source::store_answer list_store(const source::list_request& request);
     [[nodiscard]] source::store_answer track_revision(source::store_answer answer);
     void record_delay(const source::store_answer& answer, time_point due);
-    void switch_to(const std::optional<std::string>& relay, pool_ptr pool = nullptr);
+    void switch_to(const std::optional<std::string>& relay);
 
-    boost::asio::io_context& m_io;
     std::unique_ptr<source::key_value_store> m_direct;
+    std::unique_ptr<relay_client> m_relays;
     relayed_store_options m_options;
     std::string m_path;
     relay_selector& m_relay_selector;
     std::optional<std::string> m_relay; ///< followed now; nullopt: the store
-    pool_ptr m_pool;                    ///< to m_relay
     answer_limit m_answer_limit;        ///< of the store
-    forwarding::in_flight_calls m_in_flight;
     // Identifies the latest call: an earlier call that ends later must not set the cursor.
     std::uint64_t m_latest_call = 0;
     source::relay_cursor m_cursor;            ///< of m_relay
--- a/pomelohead/forwarding/connection_watch.cc
+++ b/pomelohead/forwarding/connection_watch.cc
@@ -1,27 +1,10 @@
 #include "pomelohead/forwarding/connection_watch.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-
-#include <sys/socket.h>
+#include "pomelohead/forwarding/socket_state.h"
 
-#include <cerrno>
+#include <boost/asio/bind_cancellation_slot.hpp>
 
 namespace pomelohead::forwarding {
-namespace {
-
-bool is_closed(int socket)
-{
-    char byte = 0;
-    const ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-} // namespace
-
-bool is_closed_by_peer(boost::beast::tcp_stream& stream)
-{
-    return is_closed(stream.socket().native_handle());
-}
 
 connection_watch::connection_watch(boost::beast::tcp_stream& stream,
                                    std::function<void()> on_closed,
@@ -30,15 +13,14 @@
 {
     m_state->m_on_closed = std::move(on_closed);
     m_state->m_on_early_data = std::move(on_early_data);
-    const int socket = stream.socket().native_handle();
     stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
                                boost::asio::bind_cancellation_slot(
-                                   m_state->m_cancel.slot(), [watch_state = m_state, socket](
+                                   m_state->m_cancel.slot(), [watch_state = m_state, &stream](
                                                                  boost::system::error_code error) {
                                        if (error || !watch_state->m_on_closed) {
                                            return;
                                        }
-                                       if (is_closed(socket)) {
+                                       if (is_closed_by_peer(stream)) {
                                            watch_state->m_on_closed();
                                        }
                                        else if (watch_state->m_on_early_data) {
--- a/pomelohead/forwarding/connection_watch.h
+++ b/pomelohead/forwarding/connection_watch.h
@@ -15,10 +15,6 @@
 
 namespace pomelohead::forwarding {
 
-/// Returns whether the peer has closed the connection and nothing it sent is left to read. A watch
-/// reports that only once the event loop runs again.
-[[nodiscard]] bool is_closed_by_peer(boost::beast::tcp_stream& stream);
-
 /// Calls one of its callbacks once, when the connection is closed or bytes arrive early. Destroying
 /// it ends the watch.
 class connection_watch {
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/forwarding/entry_exchange.h"
 
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/socket_state.h"
 #include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
@@ -43,7 +44,7 @@
                         const bool is_first = m_retry_hint == milliseconds::zero();
                         m_retry_hint = is_first ? hint : std::min(m_retry_hint, hint);
                     }},
-      m_arrived(clock_type::now())
+      m_arrived(clock_type::now()), m_unread(time_since_last_data(exchange.stream()))
 {
 }
 
@@ -69,13 +70,18 @@
 
 void entry_exchange::record_if_unanswered() const
 {
-    if (!m_exchange.is_unanswered()) {
+    if (m_exchange.is_answered()) {
         return;
     }
     const request_phase phase = m_exchange.answered()         ? request_phase::answering
                                 : !m_attempts.empty()         ? request_phase::at_target
                                 : m_exchange.request().done() ? request_phase::queued
                                                               : request_phase::reading;
+    if (m_exchange.has_caller_left()) {
+        record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::caller, m_unread,
+                                               clock_type::now() - m_arrived});
+        return;
+    }
     std::string why(outcome::to_string(m_state.m_last_cause));
     if (!m_exchange.failure().empty()) {
         why += ": " + m_exchange.failure();
@@ -476,6 +482,7 @@
     const std::string work_class =
         m_route != nullptr ? std::string(config::to_string(m_route->m_class)) : "";
     const std::string outcome_text(outcome::to_string(conclusion.m_outcome));
+    const auto ms = [](duration d) { return std::chrono::duration<double, std::milli>(d).count(); };
     m_service.m_stats.add("requests_total",
                           {{"account", account},
                            {"class", work_class},
@@ -492,6 +499,7 @@
                  {"class", work_class},
                  {"route", m_route != nullptr ? m_route->m_name : ""},
                  {"version", m_config ? m_config->m_version : 0},
+                 {"config_age_ms", ms(m_service.m_callbacks.m_config_age().value_or(duration{}))},
                  {"target", m_attempts.empty() ? "" : m_attempts.back()->target().m_name},
                  {"attempts", m_attempts.size()},
                  {"outcome", outcome_text},
@@ -499,7 +507,8 @@
                  {"detail", m_detail},
                  {"buffered_body_bytes", m_body.bytes().size()},
                  {"status", status},
-                 {"ms", std::chrono::duration<double, std::milli>(took).count()}});
+                 {"unread_ms", ms(m_unread)},
+                 {"ms", ms(took)}});
 }
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -63,6 +63,7 @@
     buffered_body m_body;
     attempt_request m_request;
     time_point m_arrived{};
+    duration m_unread{};         ///< for which its bytes had been here when it was read
     milliseconds m_retry_hint{}; ///< the shortest retry delay that a refusing owner advised
     std::string m_detail;        ///< explanation of a refusal, for the log
 
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -1,5 +1,6 @@
 #include "pomelohead/forwarding/http_server.h"
 
+#include "pomelohead/forwarding/socket_state.h"
 #include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
@@ -122,11 +123,10 @@
     return false;
 }
 
-bool server_exchange::is_unanswered() const
+bool server_exchange::has_caller_left() const
 {
-    const bool has_caller_left = m_connection.m_closed_by_peer ||
-                                 (m_stream.socket().is_open() && is_closed_by_peer(m_stream));
-    return !m_is_answered && !has_caller_left;
+    return m_connection.m_closed_by_peer ||
+           (m_stream.socket().is_open() && is_closed_by_peer(m_stream));
 }
 
 bool server_exchange::note_write(bool succeeded, const reason& why)
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -135,9 +135,12 @@
     /// Whether the response has been written to its end.
     [[nodiscard]] bool is_answered() const { return m_is_answered; }
 
+    /// Whether the caller is known to have closed the connection.
+    [[nodiscard]] bool has_caller_left() const;
+
     /// Whether the response is not complete though the caller has not left. For use after the last
     /// attempt to respond.
-    [[nodiscard]] bool is_unanswered() const;
+    [[nodiscard]] bool is_unanswered() const { return !m_is_answered && !has_caller_left(); }
 
     /// Why the last operation that failed on the caller's connection did; empty if none has.
     [[nodiscard]] const std::string& failure() const { return m_failure; }
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -1,6 +1,7 @@
 #include "pomelohead/forwarding/owner_exchange.h"
 
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/socket_state.h"
 #include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/outcome/entry_machine.h"
 #include "pomelohead/outcome/fingerprint.h"
@@ -71,7 +72,7 @@
 owner_exchange::owner_exchange(owner_service& service, server_exchange& exchange)
     : m_service(service), m_exchange(exchange),
       m_body(service.m_body_budget, service.m_options.m_max_buffered_bytes_per_request),
-      m_arrived(clock_type::now())
+      m_arrived(clock_type::now()), m_unread(time_since_last_data(exchange.stream()))
 {
 }
 
@@ -92,13 +93,18 @@
 
 void owner_exchange::record_if_unanswered() const
 {
-    if (!m_exchange.is_unanswered()) {
+    if (m_exchange.is_answered()) {
         return;
     }
     const request_phase phase = m_exchange.answered()           ? request_phase::answering
                                 : m_handed_over != time_point{} ? request_phase::at_target
                                 : m_exchange.request().done()   ? request_phase::queued
                                                                 : request_phase::reading;
+    if (m_exchange.has_caller_left()) {
+        record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::owner, m_unread,
+                                               clock_type::now() - m_arrived});
+        return;
+    }
     std::string why(outcome::to_string(m_state.m_end.m_cause));
     for (const std::string& text : {m_detail, m_exchange.failure()}) {
         why += text.empty() ? "" : ": " + text;
@@ -814,6 +820,7 @@
                  {"free_slots", load.m_free},
                  {"queued", load.m_queued},
                  {"left_ms", -ms(m_deadline)},
+                 {"unread_ms", std::chrono::duration<double, std::milli>(m_unread).count()},
                  {"ms", ms(m_arrived)}});
 }
 
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -99,6 +99,7 @@
     admission::request_end m_slot_result =
         admission::request_end::aborted; ///< reported to admission when the slot is released
     time_point m_arrived{};
+    duration m_unread{}; ///< for which its bytes had been here when it was read
 };
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/unanswered_request.cc
+++ b/pomelohead/forwarding/unanswered_request.cc
@@ -34,4 +34,18 @@
         {{"id", request.m_id}, {"phase", phase}, {"side", side}, {"reason", request.m_reason}});
 }
 
+void record_caller_left(metrics& stats, const abandoned_request& request)
+{
+    const std::string phase(to_string(request.m_phase));
+    const std::string side(to_string(request.m_side));
+    const auto ms = [](duration d) { return std::chrono::duration<double, std::milli>(d).count(); };
+    stats.add("callers_left_total", {{"side", side}, {"phase", phase}});
+    log_request(log_level::info, "caller_left",
+                {{"id", request.m_id},
+                 {"phase", phase},
+                 {"side", side},
+                 {"unread_ms", ms(request.m_unread)},
+                 {"ms", ms(request.m_held)}});
+}
+
 } // namespace pomelohead::forwarding
--- a/pomelohead/forwarding/unanswered_request.h
+++ b/pomelohead/forwarding/unanswered_request.h
@@ -1,4 +1,5 @@
-// The record of a request whose connection ends without a complete response.
+// The record of a request whose connection ends without a complete response, or whose caller leaves
+// before it.
 //
 //     if (exchange.is_unanswered()) {
 //         record_unanswered(stats, {.m_id = id,
@@ -7,9 +8,11 @@
 //                                   .m_reason = exchange.failure()});
 //     }
 //
-// writes the line request_unanswered and adds to requests_unanswered_total{side, phase}.
+// writes the line request_unanswered and adds to requests_unanswered_total{side, phase};
+// record_caller_left() writes caller_left and adds to callers_left_total{side, phase}.
 #pragma once
 
+#include "pomelohead/runtime/timer_service.h"
 #include "pomelohead/telemetry/metrics.h"
 
 #include <string>
@@ -40,4 +43,15 @@
 
 void record_unanswered(metrics& stats, const unanswered_request& request);
 
+/// A request whose caller, or whose entry, closed the connection before the response.
+struct abandoned_request {
+    std::string m_id;
+    request_phase m_phase = request_phase::queued;
+    request_side m_side = request_side::caller;
+    duration m_unread{}; ///< for which its bytes had been here when it was read
+    duration m_held{};   ///< from then on until it ended
+};
+
+void record_caller_left(metrics& stats, const abandoned_request& request);
+
 } // namespace pomelohead::forwarding
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -58,6 +58,7 @@
            .m_is_host = [this](const std::string& address) { return is_host(address); },
            .m_on_request_started = [this] { m_shutdown.request_began(); },
            .m_on_request_ended = [this] { m_shutdown.request_ended(); },
+           .m_config_age = [this] { return configuration_age(); },
            .m_finish_by = [this] { return m_shutdown.finish_by(); }}),
       m_admin(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_admin_port}, {},
               [this](forwarding::server_exchange& e) { serve_admin(*this, e); }),
@@ -83,6 +84,10 @@
     });
     m_stats.gauge("config_age_seconds",
                   [this] { return seconds_or(m_distributor.status().m_config_age, -1); });
+    m_stats.gauge("config_known_age_seconds", [this] {
+        const std::optional<duration> age = configuration_age();
+        return age ? std::chrono::duration<double>(*age).count() : -1;
+    });
     m_stats.gauge("source_up",
                   [this] { return m_distributor.status().m_source.m_state == "up" ? 1.0 : 0.0; });
     m_stats.gauge("control_bytes_sent",
@@ -165,6 +170,22 @@
     return m_catalog ? m_catalog->is_confirmed() : m_distributor.status().m_confirmed;
 }
 
+// Where a store is followed. Elsewhere the distributor reports the age of the configuration.
+std::optional<duration> node::configuration_age() const
+{
+    return m_catalog ? m_catalog->configuration_age() : std::nullopt;
+}
+
+// Whether every version that has to be in force by now would be known. False before the first.
+bool node::is_configuration_current() const
+{
+    if (!m_catalog) {
+        return true;
+    }
+    const std::optional<duration> age = configuration_age();
+    return age && *age <= in_force_within_of(m_settings);
+}
+
 bool node::is_ready() const
 {
     return current() != nullptr && lifecycle::accepts_work(m_shutdown.phase());
@@ -192,12 +213,25 @@
 void node::refresh()
 {
     notice_freeze();
+    notice_configuration_age();
     m_members.refresh();
     if (m_hold_until && (m_timers.now() >= *m_hold_until || is_confirmed())) {
         m_hold_until.reset();
     }
 }
 
+void node::notice_configuration_age()
+{
+    const bool is_current = is_configuration_current();
+    const std::optional<duration> age = configuration_age();
+    if (!age || is_current == std::exchange(m_was_configuration_current, is_current)) {
+        return;
+    }
+    log_event(log_level::info, is_current ? "configuration_current" : "configuration_outdated",
+              {{"version", current() ? current()->m_version : 0},
+               {"age_ms", std::chrono::duration_cast<milliseconds>(*age).count()}});
+}
+
 // Called before every decision that rests on what may be old, not only by the
 // timer: after a freeze, requests may be looked at before timers are.
 void node::notice_freeze()
--- a/pomelohead/node/node.h
+++ b/pomelohead/node/node.h
@@ -77,6 +77,9 @@
     void refresh();
     void notice_freeze();
     [[nodiscard]] bool is_confirmed() const;
+    [[nodiscard]] std::optional<duration> configuration_age() const;
+    [[nodiscard]] bool is_configuration_current() const;
+    void notice_configuration_age();
     void serve_ready(forwarding::server_exchange& exchange);
     [[nodiscard]] bool is_host(const std::string& address) const;
     [[nodiscard]] lifecycle::drain_view drain_view_of(const std::string& target) const;
@@ -89,6 +92,7 @@
     std::uint64_t m_incarnation;
     time_point m_started;
     bool m_drained_by_operator = false;
+    bool m_was_configuration_current = true; ///< at the latest refresh
     lifecycle::freeze_detector m_freeze;
     std::optional<time_point>
         m_hold_until; ///< after a freeze: no new work, unless confirmed before
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -145,6 +145,12 @@
     return options;
 }
 
+milliseconds in_force_within_of(const settings::node_settings& settings)
+{
+    constexpr milliseconds default_in_force_within{2'000};
+    return settings.m_in_force_within.value_or(default_in_force_within);
+}
+
 discovery::catalog_options catalog_options_of(const settings::node_settings& settings,
                                               std::uint64_t incarnation)
 {
@@ -161,9 +167,7 @@
         settings.m_link_mbps.value_or(least_relay_mbps) >= least_relay_mbps &&
         settings.m_cores.value_or(least_relay_cores) >= least_relay_cores;
     options.m_seeds = settings.m_peers;
-    constexpr milliseconds default_in_force_within{2'000};
-    options.m_timing =
-        discovery::make_relay_timing(settings.m_in_force_within.value_or(default_in_force_within));
+    options.m_timing = discovery::make_relay_timing(in_force_within_of(settings));
     options.m_configuration.m_list_after_changes = true;
     if (settings.m_in_force_within) {
         options.m_configuration.m_batch_delay = options.m_timing.m_batch_delay;
--- a/pomelohead/node/node_options.h
+++ b/pomelohead/node/node_options.h
@@ -24,6 +24,9 @@
                                                          const forwarding::dialect& names,
                                                          std::uint64_t incarnation);
 
+/// How long after the store's acknowledgement of a change all nodes have to go by it.
+[[nodiscard]] milliseconds in_force_within_of(const settings::node_settings& settings);
+
 [[nodiscard]] discovery::catalog_options catalog_options_of(const settings::node_settings& settings,
                                                             std::uint64_t incarnation);
 
--- a/pomelohead/source/key_value.h
+++ b/pomelohead/source/key_value.h
@@ -77,6 +77,8 @@
     bool m_has_more = false;               ///< list only: more pages follow
     bool m_is_complete_list = false;       ///< watch only: all present keys in place of the changes
     bool m_relayed = false;                ///< from another node, without a call to the store
+    /// The time up to which the answer tells all changes; nullopt if it is not known.
+    std::optional<time_point> m_as_of;
     reason m_why;
 
     bool operator==(const store_answer&) const = default;
--- a/pomelohead/source/relay.h
+++ b/pomelohead/source/relay.h
@@ -84,6 +84,10 @@
     /// Sets relayed_changes::m_complete_revision of the answers from now on.
     void set_complete_revision(const store_revision& revision) { m_complete_revision = revision; }
 
+    /// Sets the time up to which this node knows all changes.
+    void set_as_of(const std::optional<time_point>& as_of) { m_as_of = as_of; }
+    [[nodiscard]] const std::optional<time_point>& as_of() const { return m_as_of; }
+
     [[nodiscard]] const relay_cursor& cursor() const { return m_cursor; }
 
     /// All present keys, with the values that are newer than `known_revision`.
@@ -119,6 +123,7 @@
     store_revision m_revision;
     store_revision m_complete_revision;
     relay_feed m_feed = relay_feed::none;
+    std::optional<time_point> m_as_of;
     std::map<std::string, entry> m_entries;
     std::size_t m_tombstone_count = 0; ///< entries that are tombstones
 };
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -112,6 +112,7 @@
     if (after.empty()) {
         mark_all_unlisted();
         m_list_revision = page.m_revision;
+        m_list_as_of = page.m_as_of;
         m_list_relayed = page.m_relayed;
     }
     if (!mark_unchanged(page.m_unchanged)) {
@@ -142,6 +143,7 @@
     }
     const bool is_first = !std::exchange(m_status.m_listed, true);
     m_status.m_revision = std::max(m_status.m_revision, m_list_revision);
+    advance_as_of(m_list_as_of);
     m_hooks.m_on_listed({m_list_revision, m_list_ignored, m_list_relayed});
     m_hooks.m_on_answer_applied();
     if (m_options.m_list_after_changes && m_list_has_changes && !is_first && !m_list_relayed) {
@@ -218,6 +220,7 @@
         }
     }
     m_status.m_revision = std::max(m_status.m_revision, changes.m_revision);
+    advance_as_of(changes.m_as_of);
     if (!changes.m_items.empty()) {
         m_hooks.m_on_answer_applied();
         // A relay returns only the newest values, so watching it is enough.
@@ -321,7 +324,14 @@
         m_hooks.m_on_contact_lost(why);
     }
     ++m_generation;
-    schedule_list(m_backoff.next(m_random));
+    const duration pause = m_backoff.next(m_random);
+    m_hooks.m_on_call_failed(why, pause);
+    schedule_list(pause);
+}
+
+void store_follower::advance_as_of(const std::optional<time_point>& as_of)
+{
+    m_status.m_as_of = std::max(m_status.m_as_of, as_of);
 }
 
 void store_follower::on_success(const store_answer& answer)
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -66,6 +66,9 @@
     std::function<void(const reason&)>
         m_on_contact_lost;                       ///< the first failed call after successful ones
     std::function<void()> m_on_contact_regained; ///< the first successful call after failed ones
+    /// Each failed call, with the time until the next one.
+    std::function<void(const reason&, duration pause)> m_on_call_failed = [](const reason&,
+                                                                             duration) {};
     /// The connection of a watch has ended while it waited; contact is not lost yet.
     std::function<void(const reason&)> m_on_watch_cut = [](const reason&) {};
     /// The store does not have the changes after the watched revision.
@@ -87,6 +90,7 @@
     bool m_relayed = false; ///< the latest successful call was answered by a relay
     std::uint64_t m_calls = 0;
     std::optional<time_point> m_last_contact;
+    std::optional<time_point> m_as_of; ///< the time up to which all changes have been reported
     reason m_last_failure;
 
     bool operator==(const follower_status&) const = default;
@@ -134,6 +138,7 @@
     void on_watch_cut(const reason& why);
     void on_failure(const reason& why);
     void on_success(const store_answer& answer);
+    void advance_as_of(const std::optional<time_point>& as_of);
     [[nodiscard]] bool is_in_removal_grace() const;
 
     struct known_key {
@@ -148,8 +153,9 @@
     std::mt19937_64 m_random;
     backoff m_backoff;
     follower_status m_status;
-    std::uint64_t m_generation = 0; // answers to calls of an earlier generation are ignored
-    store_revision m_list_revision; // of the first page of the current list
+    std::uint64_t m_generation = 0;         // answers to calls of an earlier generation are ignored
+    store_revision m_list_revision;         // of the first page of the current list
+    std::optional<time_point> m_list_as_of; // of the same page
     std::size_t m_list_ignored = 0;
     bool m_list_has_changes = false; // the current list had a new or changed value
     bool m_list_relayed = false;
