A node that knows too little for too long calls the store, whatever its relay says

Seen by callers: requests handled by a configuration that had been replaced more than the bound before.

Cause: limits stood on single waits, and what a relay answers in time was taken for news. A relay whose own call takes long holds polls and answers that nothing has changed, for as long as its call may take. And the waits after one loss added up to the whole bound, so that a second loss had no room.

Now each answer says up to which time it tells all changes. An empty answer is followed by the next watch at once: there is nothing to share a call with.

The class: a limit on each step where the promise is on their sum.

--- a/pomelohead/discovery/relayed_store.cc
+++ b/pomelohead/discovery/relayed_store.cc
@@ -176,6 +176,7 @@
     }
     m_newest_revision = std::max(m_newest_revision, changes->m_revision);
     answer->m_as_of = parse_as_of(response.m_fields[as_of_header], sent, now);
+    advance_as_of(*answer);
     return std::move(*answer);
 }
 
@@ -218,6 +219,21 @@
     return answer;
 }
 
+// The last page of a list makes known what was so when the first one was read.
+void relayed_store::advance_as_of(const store_answer& answer)
+{
+    if (answer.m_status == store_status::ok && !answer.m_has_more) {
+        m_as_of = std::max(m_as_of, answer.m_as_of);
+    }
+}
+
+// Zero or less if the store has to be called; nothing is overdue before the first answer.
+duration relayed_store::time_until_overdue() const
+{
+    const duration age = m_as_of ? m_options.m_now() - *m_as_of : duration{};
+    return m_options.m_timing.m_max_age - age;
+}
+
 store_answer relayed_store::list(const source::list_request& request)
 {
     if (request.m_after.empty()) {
@@ -238,7 +254,10 @@
     source::list_request limited = request;
     limited.m_limit = m_answer_limit.current();
     store_answer page = m_direct->list(limited);
-    page.m_as_of = due;
+    // Later pages tell nothing newer than the first.
+    m_list_sent_at = request.m_after.empty() ? due : m_list_sent_at;
+    page.m_as_of = m_list_sent_at;
+    advance_as_of(page);
     record_delay(page, due);
     return track_revision(std::move(page));
 }
@@ -254,58 +273,86 @@
     }
 }
 
-// Returns how long to watch the store before looking for a relay again.
-milliseconds relayed_store::direct_watch_wait(milliseconds asked) const
+store_answer relayed_store::call_watch(const source::watch_request& request)
 {
-    const time_point now = m_options.m_now();
-    const bool has_no_relay =
-        !m_relay_selector.is_relay(now) && !m_relay_selector.time_until_change(now);
-    return std::min(asked, has_no_relay ? m_options.m_timing.m_direct_watch_wait
-                                        : m_options.m_timing.m_store_watch_wait);
+    ++m_latest_call;
+    const time_point sent = m_options.m_now();
+    const time_point due = sent + request.m_wait;
+    store_answer changes = m_direct->watch(request);
+    record_delay(changes, due);
+    // A watch without changes was held for the time asked for, unless it ended early.
+    changes.m_as_of = changes.m_items.empty() && m_options.m_now() >= due ? due : sent;
+    advance_as_of(changes);
+    return track_revision(std::move(changes));
 }
 
 store_answer relayed_store::watch_store(const source::watch_request& request)
 {
-    const bool was_relayed = m_relay.has_value();
+    // What a relay did not tell any more may be due.
+    const bool is_due = m_relay.has_value() || time_until_overdue() <= duration::zero();
     switch_to(std::nullopt);
-    ++m_latest_call;
     if (!m_can_resume) {
+        ++m_latest_call;
         store_answer expired;
         expired.m_status = store_status::history_lost;
         return expired;
     }
-    // The first watch returns at once: what the relay did not tell any more may be due.
-    const milliseconds wait = was_relayed ? milliseconds(0) : direct_watch_wait(request.m_wait);
-    const time_point sent = m_options.m_now();
-    const time_point due = sent + wait;
-    store_answer changes = m_direct->watch(
+    const milliseconds wait =
+        is_due ? milliseconds(0) : std::min(request.m_wait, m_options.m_timing.m_store_watch_wait);
+    store_answer changes = call_watch(
         {.m_after = request.m_after, .m_wait = wait, .m_slack = m_answer_limit.current()});
-    record_delay(changes, due);
-    // A watch without changes was held for the time asked for, unless it ended early.
-    changes.m_as_of = changes.m_items.empty() && m_options.m_now() >= due ? due : sent;
-    return track_revision(std::move(changes));
+    // The connection may be dead while the store is up; the next call opens another one.
+    if (changes.m_status == store_status::failed &&
+        changes.m_why.m_code == reason_code::timed_out && !m_cancelled) {
+        log_event(log_level::info, "store_call_repeated",
+                  {{"path", m_path}, {"why", changes.m_why.m_text}});
+        return call_watch({.m_after = request.m_after,
+                           .m_wait = milliseconds(0),
+                           .m_slack = m_answer_limit.current()});
+    }
+    return changes;
+}
+
+// Asks for the changes after the cursor, so that the answer is there before the store has to be
+// called.
+store_answer relayed_store::poll(const std::string& relay, const source::watch_request& request)
+{
+    const duration slack = m_options.m_timing.m_answer_slack;
+    const duration limit =
+        std::min<duration>(m_options.m_timing.m_poll_wait + slack, time_until_overdue());
+    const duration wait = std::clamp<duration>(limit - slack, {}, request.m_wait);
+    return query(relay,
+                 "?start=" + std::to_string(m_cursor.m_start) +
+                     "&cursor=" + std::to_string(m_cursor.m_number) +
+                     "&wait_ms=" + std::to_string(whole_ms(wait)),
+                 limit);
 }
 
 store_answer relayed_store::watch(const source::watch_request& request)
 {
     std::optional<std::string> failed_relay;
     const auto chosen = m_relay_selector.choose(m_options.m_now());
-    if (chosen && chosen == m_relay) {
-        const milliseconds wait = std::min(request.m_wait, m_options.m_timing.m_poll_wait);
-        store_answer changes = query(*chosen,
-                                     "?start=" + std::to_string(m_cursor.m_start) +
-                                         "&cursor=" + std::to_string(m_cursor.m_number) +
-                                         "&wait_ms=" + std::to_string(wait.count()),
-                                     wait + m_options.m_timing.m_answer_slack);
+    const bool is_followed = chosen && chosen == m_relay;
+    if (is_followed && time_until_overdue() > duration::zero()) {
+        store_answer changes = poll(*chosen, request);
         if (changes.m_status != store_status::failed || m_cancelled) {
             return changes;
         }
         if (changes.m_why.m_code == reason_code::stale) {
-            return watch_store(request); // relay_timing::store_loss() has no time for a search
+            return watch_store(request); // what the relay knew last is old: no time for a search
         }
         failed_relay = chosen;
     }
-    if (auto all = list_from_relays(request.m_after, m_options.m_timing.m_search, failed_relay)) {
+    else if (is_followed) {
+        m_relay_selector.record_not_ready(*chosen, m_options.m_now());
+        log_event(log_level::info, "relay_failed",
+                  {{"path", m_path},
+                   {"relay", *chosen},
+                   {"code", to_string(reason_code::stale)},
+                   {"why", "the relay has not heard from the store for too long"}});
+    }
+    const duration search = std::min<duration>(m_options.m_timing.m_search, time_until_overdue());
+    if (auto all = list_from_relays(request.m_after, search, failed_relay)) {
         all->m_is_complete_list = true;
         return std::move(*all);
     }
--- a/pomelohead/discovery/relayed_store.h
+++ b/pomelohead/discovery/relayed_store.h
@@ -5,7 +5,8 @@
 // have changed. One that changes from a relay to the store continues after the last revision that
 // the relay had completely, so that the loss of a relay costs each follower at most one call. A
 // relay with an older revision than the node has received counts as failed, so that values never
-// go back.
+// go back. Once the node has known all changes longer ago than relay_timing::m_max_age it calls the
+// store, even if its relay answers.
 //
 //     relayed_store store(open_direct(), std::make_unique<http_relay_client>(io, port), options,
 //                         selector);
@@ -52,7 +53,11 @@
     list_from_relays(const source::store_revision& known_revision, duration limit,
                      const std::optional<std::string>& failed_relay = std::nullopt);
     [[nodiscard]] source::store_answer watch_store(const source::watch_request& request);
-    [[nodiscard]] milliseconds direct_watch_wait(milliseconds asked) const;
+    [[nodiscard]] source::store_answer call_watch(const source::watch_request& request);
+    [[nodiscard]] source::store_answer poll(const std::string& relay,
+                                            const source::watch_request& request);
+    [[nodiscard]] duration time_until_overdue() const;
+    void advance_as_of(const source::store_answer& answer);
     [[nodiscard]] source::store_answer list_store(const source::list_request& request);
     [[nodiscard]] source::store_answer track_revision(source::store_answer answer);
     void record_delay(const source::store_answer& answer, time_point due);
@@ -69,6 +74,8 @@
     std::uint64_t m_latest_call = 0;
     source::relay_cursor m_cursor;            ///< of m_relay
     source::store_revision m_newest_revision; ///< of the part, from relays and the store
+    time_point m_list_sent_at{};              ///< the first page of the latest list of the store
+    std::optional<time_point> m_as_of;        ///< the time up to which the node knows all changes
     bool m_can_resume = false;                ///< the latest answer was complete up to its revision
     bool m_cancelled = false;
 };
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -63,6 +63,7 @@
 void store_follower::list_from(const std::string& after, const store_revision& known_revision)
 {
     ++m_status.m_calls;
+    m_called_at = m_timers.now();
     const std::uint64_t generation = ++m_generation;
     m_hooks.m_list({.m_after = after, .m_known_revision = known_revision},
                    [this, generation, after](const store_answer& page) {
@@ -161,6 +162,7 @@
 void store_follower::watch(milliseconds wait)
 {
     ++m_status.m_calls;
+    m_called_at = m_timers.now();
     const std::uint64_t generation = ++m_generation;
     m_hooks.m_watch({.m_after = m_status.m_revision, .m_wait = wait},
                     [this, generation, wait](const store_answer& changes) {
@@ -229,9 +231,17 @@
             return;
         }
     }
-    const duration delay =
-        changes.m_relayed ? m_options.m_relay_watch_delay : m_options.m_batch_delay;
-    m_next_call_timer = m_timers.after(delay, [this] { watch(); });
+    m_next_call_timer = m_timers.after(delay_after(changes), [this] { watch(); });
+}
+
+// After an answer without changes there is nothing to share a call with the next change.
+duration store_follower::delay_after(const store_answer& changes) const
+{
+    if (changes.m_relayed) {
+        return m_options.m_relay_watch_delay;
+    }
+    return changes.m_items.empty() ? std::max<duration>(m_options.m_batch_delay - since_call(), {})
+                                   : m_options.m_batch_delay;
 }
 
 void store_follower::apply_value(const key_change& change)
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -31,9 +31,9 @@
 
 struct follower_options {
     milliseconds m_watch_wait{20'000}; ///< below the 30 s that stores allow as the wait
-    /// Delay between a watch's answer and the next watch, so that changes in quick
-    /// succession share a call. Must be less than half of the time within which a change
-    /// has to be in force.
+    /// Delay between an answer with changes and the next call, so that changes in quick
+    /// succession share a call, and the least time between two calls. Must be less than half of the
+    /// time within which a change has to be in force.
     milliseconds m_batch_delay{150};
     /// Whether to list again after a change instead of watching on: a watch returns each
     /// value that a key has had, a list only the newest. For large values.
@@ -138,6 +138,8 @@
     void on_watch_cut(const reason& why);
     void on_failure(const reason& why);
     void on_success(const store_answer& answer);
+    [[nodiscard]] duration since_call() const { return m_timers.now() - m_called_at; }
+    [[nodiscard]] duration delay_after(const store_answer& changes) const;
     void advance_as_of(const std::optional<time_point>& as_of);
     [[nodiscard]] bool is_in_removal_grace() const;
 
@@ -153,6 +155,7 @@
     std::mt19937_64 m_random;
     backoff m_backoff;
     follower_status m_status;
+    time_point m_called_at{};               // the latest call
     std::uint64_t m_generation = 0;         // answers to calls of an earlier generation are ignored
     store_revision m_list_revision;         // of the first page of the current list
     std::optional<time_point> m_list_as_of; // of the same page
