The end of a connection counts also behind bytes that nobody has read

Seen by targets: requests were sent on up to 2 s after their callers had left.

Cause: whether a caller has left was read from the next byte of its connection. Behind further requests the end is not the next byte: a host that is late to read finds a row of requests with the end behind them, takes each for new and passes it on; and what is in progress goes on while requests beyond the 16 that are read ahead lie unread.

Evidence: requests_read_after_their_caller_left_are_not_sent_on (30 requests) and caller_that_leaves_behind_unread_requests_ends_those_in_progress fail before this change.

The class: the absence of a sign is taken for the sign of absence. On the owner's side the check stood behind a condition that holds for some requests only; it no longer does.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -51,6 +51,9 @@
         record_result(routing::attempt_result::failed);
         return report_event(entry_event_kind::connect_failed);
     }
+    if (m_request.m_has_caller_left()) {
+        return record_result(routing::attempt_result::cancelled);
+    }
     report_event(entry_event_kind::before_request_write);
     if (write_request() && read_head()) {
         read_response();
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -21,6 +21,7 @@
     std::string m_ticket_owner; ///< the owner's address; empty
     config::work_class m_class = config::work_class::short_work;
     std::function<void(const outcome::entry_event&)> m_on_event;
+    std::function<bool()> m_has_caller_left; ///< ends the request if so
     std::function<bool()> m_is_suspect;
     std::function<void(milliseconds)>
         m_on_retry_hint; ///< called with an owner's advised retry delay
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -38,6 +38,7 @@
       m_request{.m_exchange = exchange,
                 .m_body = m_body,
                 .m_on_event = [this](const outcome::entry_event& e) { process_event(e); },
+                .m_has_caller_left = [this] { return end_if_caller_left(); },
                 .m_is_suspect = [this] { return outcome::must_run_alone(m_state); },
                 .m_on_retry_hint =
                     [this](milliseconds hint) {
@@ -62,12 +63,24 @@
         m_watch = m_exchange.watch(
             [this] { process_event({.m_kind = entry_event_kind::caller_disconnected}); });
     }
-    choose_owner(false);
+    if (!end_if_caller_left()) {
+        choose_owner(false);
+    }
     run_actions();
     m_watch.reset();
     m_fibers.wait();
 }
 
+// A host that is late to read may find a request and the end of its connection at once.
+bool entry_exchange::end_if_caller_left()
+{
+    const bool is_left = !m_request.m_streamed && m_exchange.has_caller_left();
+    if (is_left) {
+        process_event({.m_kind = entry_event_kind::caller_disconnected});
+    }
+    return is_left;
+}
+
 void entry_exchange::record_if_unanswered() const
 {
     if (m_exchange.is_answered()) {
@@ -79,7 +92,8 @@
                                                               : request_phase::reading;
     if (m_exchange.has_caller_left()) {
         record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::caller, m_unread,
-                                               clock_type::now() - m_arrived});
+                                               clock_type::now() - m_arrived,
+                                               !is_closed_by_peer(m_exchange.stream())});
         return;
     }
     std::string why(outcome::to_string(m_state.m_last_cause));
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -36,6 +36,7 @@
     bool read_body();
     bool fit_into_stop();
     void build_owner_request_head();
+    bool end_if_caller_left();
     void run_actions();
     [[nodiscard]] time_point next_timeout();
 
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -126,7 +126,7 @@
 bool server_exchange::has_caller_left() const
 {
     return m_connection.m_closed_by_peer ||
-           (m_stream.socket().is_open() && is_closed_by_peer(m_stream));
+           (m_stream.socket().is_open() && has_peer_left(m_stream));
 }
 
 bool server_exchange::note_write(bool succeeded, const reason& why)
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -135,7 +135,7 @@
     /// Whether the response has been written to its end.
     [[nodiscard]] bool is_answered() const { return m_is_answered; }
 
-    /// Whether the caller is known to have closed the connection.
+    /// Whether the caller has closed the connection, even behind bytes that have not been read.
     [[nodiscard]] bool has_caller_left() const;
 
     /// Whether the response is not complete though the caller has not left. For use after the last
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -102,7 +102,8 @@
                                                                 : request_phase::reading;
     if (m_exchange.has_caller_left()) {
         record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::owner, m_unread,
-                                               clock_type::now() - m_arrived});
+                                               clock_type::now() - m_arrived,
+                                               !is_closed_by_peer(m_exchange.stream())});
         return;
     }
     std::string why(outcome::to_string(m_state.m_end.m_cause));
@@ -457,7 +458,7 @@
         return;
     }
     // A slow host may read a request only after its entry has closed the connection.
-    if (m_watch && is_closed_by_peer(m_exchange.stream())) {
+    if (m_exchange.has_caller_left()) {
         process_event({.m_kind = owner_event_kind::entry_disconnected});
     }
     process_event({.m_kind = owner_event_kind::ready_to_write, .m_facts = current_facts()});
--- a/pomelohead/forwarding/unanswered_request.cc
+++ b/pomelohead/forwarding/unanswered_request.cc
@@ -45,6 +45,7 @@
                  {"phase", phase},
                  {"side", side},
                  {"unread_ms", ms(request.m_unread)},
+                 {"left_behind_unread_bytes", request.m_left_behind_unread_bytes},
                  {"ms", ms(request.m_held)}});
 }
 
--- a/pomelohead/forwarding/unanswered_request.h
+++ b/pomelohead/forwarding/unanswered_request.h
@@ -48,8 +48,9 @@
     std::string m_id;
     request_phase m_phase = request_phase::queued;
     request_side m_side = request_side::caller;
-    duration m_unread{}; ///< for which its bytes had been here when it was read
-    duration m_held{};   ///< from then on until it ended
+    duration m_unread{};                     ///< for which its bytes had been here when it was read
+    duration m_held{};                       ///< from then on until it ended
+    bool m_left_behind_unread_bytes = false; ///< of further requests
 };
 
 void record_caller_left(metrics& stats, const abandoned_request& request);
