The time of a request runs while its bytes lie unread

Seen by targets: requests arrive with more time than their callers have left, and after their callers have given up.

Cause: entry and owner counted the time that a request states from the moment at which they had read it. A host that stands still or is late to read gave the request the time again that it had lost, at each of the two hops.

Evidence: time_for_which_a_request_lay_unread_at_its_entry_is_not_given_again and the same for its owner fail before this change: with 100 ms stated and 300 ms unread, the target got the request.

Now the time counts from the arrival of the latest bytes, which the system tells (TCP_INFO); the first bytes of the request arrived no later. A request whose time has passed by then is refused at once as not run.

The class: a duration on the wire is restarted by whoever reads it.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -45,7 +45,7 @@
                         const bool is_first = m_retry_hint == milliseconds::zero();
                         m_retry_hint = is_first ? hint : std::min(m_retry_hint, hint);
                     }},
-      m_arrived(clock_type::now()), m_unread(time_since_last_data(exchange.stream()))
+      m_unread(time_since_last_data(exchange.stream())), m_arrived(clock_type::now() - m_unread)
 {
 }
 
@@ -168,6 +168,10 @@
         return false;
     }
     m_request.m_deadline = m_arrived + std::min(*time_left, m_route->m_deadline);
+    if (clock_type::now() >= m_request.m_deadline) {
+        refuse(cause::deadline, "its time had passed when it was read");
+        return false;
+    }
     if (m_route->m_objective > milliseconds::zero()) {
         m_request.m_objective = m_arrived + m_route->m_objective;
     }
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -63,8 +63,8 @@
     std::optional<outcome::ticket> m_ticket;
     buffered_body m_body;
     attempt_request m_request;
-    time_point m_arrived{};
     duration m_unread{};         ///< for which its bytes had been here when it was read
+    time_point m_arrived{};      ///< when its bytes did; its time runs from then on
     milliseconds m_retry_hint{}; ///< the shortest retry delay that a refusing owner advised
     std::string m_detail;        ///< explanation of a refusal, for the log
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -72,7 +72,7 @@
 owner_exchange::owner_exchange(owner_service& service, server_exchange& exchange)
     : m_service(service), m_exchange(exchange),
       m_body(service.m_body_budget, service.m_options.m_max_buffered_bytes_per_request),
-      m_arrived(clock_type::now()), m_unread(time_since_last_data(exchange.stream()))
+      m_unread(time_since_last_data(exchange.stream())), m_arrived(clock_type::now() - m_unread)
 {
 }
 
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -98,8 +98,8 @@
         m_buffered_response; ///< the target's complete response, if it is small
     admission::request_end m_slot_result =
         admission::request_end::aborted; ///< reported to admission when the slot is released
-    time_point m_arrived{};
-    duration m_unread{}; ///< for which its bytes had been here when it was read
+    duration m_unread{};                 ///< for which its bytes had been here when it was read
+    time_point m_arrived{};              ///< when its bytes did; its time runs from then on
 };
 
 } // namespace pomelohead::forwarding
