A node that may be behind does not answer that there is no route

Seen by callers: 404 for a route that had been added more than the bound before. 404 ends all retries, so that they did not come back.

Cause: a node that had not heard from the store or a relay within the bound answered from its old version as if it were the newest.

Now such a node says 503, outdated-configuration, not run, with the time to come back: it has called the store by then. What its version does route it still serves, as failure domains that are cut off have to. The cost is a 503 in place of a 404 for paths that really have no route, at nodes that are cut off.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -24,6 +24,9 @@
 // Time after the caller's deadline in which an owner's own "not run" may still arrive.
 constexpr duration deadline_grace = std::chrono::milliseconds(20);
 
+// An outdated node calls the store, which answers within a few milliseconds if it can be reached.
+constexpr milliseconds outdated_retry_hint{100};
+
 bool is_valid_request_id(std::string_view text)
 {
     return !text.empty() && text.size() <= max_request_id_bytes &&
@@ -153,7 +156,10 @@
     }
     m_route = m_config->find_route(head.method_string(), head.target(), head[http::field::host]);
     if (m_route == nullptr) {
-        refuse(cause::no_route);
+        // A node that is behind cannot tell that there is none, and "no route" ends all retries.
+        const bool is_certain = m_service.m_callbacks.m_is_config_current();
+        m_retry_hint = outdated_retry_hint;
+        refuse(is_certain ? cause::no_route : cause::outdated_configuration);
         return false;
     }
     m_target_service = m_config->find_service(m_service.m_shares.next(*m_route));
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -147,10 +147,11 @@
     const config::snapshot_ptr config = m_callbacks.m_config();
     const config::route* route = config ? config->find_route(method, path) : nullptr;
     if (route == nullptr) {
-        set_conclusion_headers(head,
-                               {outcome::outcome::not_run,
-                                config ? outcome::cause::no_route : outcome::cause::no_owner},
-                               {});
+        const outcome::cause why_not = !config ? outcome::cause::no_owner
+                                       : m_callbacks.m_is_config_current()
+                                           ? outcome::cause::no_route
+                                           : outcome::cause::outdated_configuration;
+        set_conclusion_headers(head, {outcome::outcome::not_run, why_not}, {});
         exchange.respond(head, {}, deadline, why);
         return;
     }
--- a/pomelohead/forwarding/entry_service.h
+++ b/pomelohead/forwarding/entry_service.h
@@ -49,6 +49,8 @@
         m_is_host; ///< whether the address belongs to a host of the mesh
     std::function<void()> m_on_request_started;
     std::function<void()> m_on_request_ended;
+    /// Whether this node would know every version that has to be in force by now.
+    std::function<bool()> m_is_config_current = [] { return true; };
     /// How long ago this node knew all versions of the configuration; nullopt if it cannot tell.
     std::function<std::optional<duration>()> m_config_age = [] { return std::nullopt; };
     /// When a stop that has begun cuts the requests in progress; time_point::max() if none does.
--- a/pomelohead/node/node.cc
+++ b/pomelohead/node/node.cc
@@ -58,6 +58,7 @@
            .m_is_host = [this](const std::string& address) { return is_host(address); },
            .m_on_request_started = [this] { m_shutdown.request_began(); },
            .m_on_request_ended = [this] { m_shutdown.request_ended(); },
+           .m_is_config_current = [this] { return is_configuration_current(); },
            .m_config_age = [this] { return configuration_age(); },
            .m_finish_by = [this] { return m_shutdown.finish_by(); }}),
       m_admin(io, {m_settings.m_listen.m_address, m_settings.m_listen.m_admin_port}, {},
--- a/pomelohead/outcome/outcome.cc
+++ b/pomelohead/outcome/outcome.cc
@@ -33,6 +33,7 @@
     cause_name{cause::headers_too_large, "headers-too-large"},
     cause_name{cause::overloaded, "overloaded"},
     cause_name{cause::rate_limited, "rate-limited"},
+    cause_name{cause::outdated_configuration, "outdated-configuration"},
     cause_name{cause::no_owner, "no-owner"},
     cause_name{cause::draining, "draining"},
     cause_name{cause::misdirected, "misdirected"},
--- a/pomelohead/outcome/outcome.h
+++ b/pomelohead/outcome/outcome.h
@@ -28,35 +28,36 @@
 
 /// Why a request was not run or its outcome is not known.
 enum class cause {
-    none,               ///< complete
-    malformed_request,  ///< the caller's bytes are not a valid HTTP request
-    malformed_ticket,   ///< the ticket's text is not in the format that nodes issue
-    foreign_ticket,     ///< the ticket was not issued by the owner that it names
-    ticket_reused,      ///< the ticket was already used for a request with different content
-    no_route,           ///< no route matches
-    body_too_large,     ///< above the accepted size
-    headers_too_large,  ///< above the accepted size
-    overloaded,         ///< shed under load, or would not finish in time
-    rate_limited,       ///< over the rate of requests that the target takes
-    no_owner,           ///< no owner is available or reachable
-    draining,           ///< the target is draining
-    misdirected,        ///< the named target is not one of the owner's in its configuration
-    target_unreachable, ///< connecting to the target failed
-    target_refused,     ///< the target declined the request without running it
-    quarantined,        ///< requests with this fingerprint have crashed targets
-    no_idle_target,     ///< it must run alone, and every target is busy
-    retry_refused,      ///< the retry budget is exhausted
-    deadline,           ///< the deadline passed
-    caller_left,        ///< the caller closed its connection
-    connection_lost,    ///< the connection to the owner was lost
-    target_lost,        ///< the connection to the target was lost
-    target_crashed,     ///< the target's process exited with the request in flight
-    truncated_answer,   ///< the answer ended before its declared length
-    mismatched_answer,  ///< the answer belongs to another request
-    internal_error,     ///< a fault of a node; its log has a line "request_failed"
-    owner_replaced,     ///< the ticket names an incarnation of the owner that has ended
-    ticket_expired,     ///< the ticket has expired and its outcome is no longer stored
-    already_ran,        ///< it ran, but its answer is not stored
+    none,                   ///< complete
+    malformed_request,      ///< the caller's bytes are not a valid HTTP request
+    malformed_ticket,       ///< the ticket's text is not in the format that nodes issue
+    foreign_ticket,         ///< the ticket was not issued by the owner that it names
+    ticket_reused,          ///< the ticket was already used for a request with different content
+    no_route,               ///< no route matches
+    body_too_large,         ///< above the accepted size
+    headers_too_large,      ///< above the accepted size
+    overloaded,             ///< shed under load, or would not finish in time
+    rate_limited,           ///< over the rate of requests that the target takes
+    outdated_configuration, ///< there may be a newer configuration that decides otherwise
+    no_owner,               ///< no owner is available or reachable
+    draining,               ///< the target is draining
+    misdirected,            ///< the named target is not one of the owner's in its configuration
+    target_unreachable,     ///< connecting to the target failed
+    target_refused,         ///< the target declined the request without running it
+    quarantined,            ///< requests with this fingerprint have crashed targets
+    no_idle_target,         ///< it must run alone, and every target is busy
+    retry_refused,          ///< the retry budget is exhausted
+    deadline,               ///< the deadline passed
+    caller_left,            ///< the caller closed its connection
+    connection_lost,        ///< the connection to the owner was lost
+    target_lost,            ///< the connection to the target was lost
+    target_crashed,         ///< the target's process exited with the request in flight
+    truncated_answer,       ///< the answer ended before its declared length
+    mismatched_answer,      ///< the answer belongs to another request
+    internal_error,         ///< a fault of a node; its log has a line "request_failed"
+    owner_replaced,         ///< the ticket names an incarnation of the owner that has ended
+    ticket_expired,         ///< the ticket has expired and its outcome is no longer stored
+    already_ran,            ///< it ran, but its answer is not stored
 };
 
 /// The outcome of a request together with its cause.
