An owner does not run what only a version allows that its entry should not have any more

Cause: the entry alone decides by its version, and nobody compares it with others, though each request states it.

Now an owner refuses as not run, outdated-configuration, what an entry sends by a version that is behind one which the owner has known for half of the bound, if the newest version does not let the request go to its service. Requests whose route is unchanged run. Nodes that are all cut off know no newer version and serve on.

--- a/pomelohead/config/snapshot.cc
+++ b/pomelohead/config/snapshot.cc
@@ -55,6 +55,14 @@
     return "normal";
 }
 
+bool route::leads_to(std::string_view service) const
+{
+    return m_shares.empty() ? m_service == service
+                            : std::ranges::any_of(m_shares, [service](const service_share& share) {
+                                  return share.m_service == service;
+                              });
+}
+
 const route* snapshot::find_route(std::string_view method, std::string_view path,
                                   std::string_view host) const
 {
--- a/pomelohead/config/snapshot.h
+++ b/pomelohead/config/snapshot.h
@@ -58,6 +58,9 @@
         0; ///< targets that one request may be sent to; 0: the node's setting
     std::vector<service_share> m_shares{}; ///< empty: all requests go to m_service
 
+    /// Whether requests may go to the service.
+    [[nodiscard]] bool leads_to(std::string_view service) const;
+
     bool operator==(const route&) const = default;
 };
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -26,6 +26,9 @@
 // Responses to earlier requests that are discarded before the connection is closed.
 constexpr std::size_t max_discarded_responses = 3;
 
+// The entry calls the store by itself once it has been behind for long enough.
+constexpr milliseconds outdated_retry_hint{100};
+
 constexpr duration response_write_timeout = std::chrono::seconds(10);
 constexpr milliseconds default_deadline = std::chrono::minutes(1);
 
@@ -78,8 +81,8 @@
 
 void owner_exchange::run()
 {
-    if (!read_request_headers() || !find_target() || !read_body() || !check_ticket() ||
-        !check_quarantine()) {
+    if (!read_request_headers() || !find_target() || !check_version() || !read_body() ||
+        !check_ticket() || !check_quarantine()) {
         return;
     }
     if (m_body.is_complete() || m_expects_continue) {
@@ -197,6 +200,19 @@
     return false;
 }
 
+// An entry that is behind may send what the configuration in force does not allow any more.
+bool owner_exchange::check_version()
+{
+    const http::header<true>& head = m_exchange.request().head();
+    if (m_ticket || !m_service.is_outdated(head, m_target->target().m_service)) {
+        return true;
+    }
+    m_detail = "the entry goes by version " + to_std_string(head[version_header]);
+    m_exchange.close_after(); // the body has not been read
+    refuse(cause::outdated_configuration, outdated_retry_hint);
+    return false;
+}
+
 bool owner_exchange::read_body()
 {
     // A body sent with Expect: 100-continue is requested only once there is a slot.
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -36,6 +36,7 @@
 private:
     bool read_request_headers();
     bool find_target();
+    bool check_version();
     bool read_body();
     bool collect_body();
     void watch_entry();
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -33,6 +33,7 @@
                     m_callbacks.m_config, m_quarantine),
       m_ledger(m_options.m_tickets, m_options.m_listen.m_address, m_options.m_incarnation,
                random_u64),
+      m_settled_version(m_options.m_settle_time.value_or(duration{})),
       m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
 {
 }
@@ -56,6 +57,7 @@
 
 void owner_service::apply(const config::snapshot& config)
 {
+    m_settled_version.record(config.m_version, m_timers.now());
     const server_options defaults;
     m_server.set_limits(defaults.m_idle_limit,
                         config.m_limits.m_max_header_bytes + max_entry_header_bytes,
@@ -103,6 +105,21 @@
     m_callbacks.m_on_request_ended();
 }
 
+// Whether the entry has missed a version, and the newest one lets no request of this kind go to the
+// service.
+bool owner_service::is_outdated(const http::header<true>& request, const std::string& service)
+{
+    const auto version = parse_number(request[version_header], UINT64_MAX);
+    const config::snapshot_ptr config = m_callbacks.m_config();
+    if (!m_options.m_settle_time || !version || !config ||
+        *version >= m_settled_version.get(m_timers.now())) {
+        return false;
+    }
+    const config::route* route =
+        config->find_route(request.method_string(), request.target(), request[http::field::host]);
+    return route == nullptr || !route->leads_to(service);
+}
+
 void owner_service::reevaluate_pending_requests()
 {
     // Reevaluating a request may start another one, but removes none from the set.
--- a/pomelohead/forwarding/owner_service.h
+++ b/pomelohead/forwarding/owner_service.h
@@ -15,6 +15,7 @@
 #include "pomelohead/forwarding/crash_mark_replicator.h"
 #include "pomelohead/forwarding/dialect.h"
 #include "pomelohead/forwarding/owned_target.h"
+#include "pomelohead/forwarding/settled_version.h"
 #include "pomelohead/outcome/ticket.h"
 #include "pomelohead/telemetry/metrics.h"
 
@@ -34,6 +35,9 @@
     outcome::quarantine_options m_quarantine;
     outcome::ticket_options m_tickets;
     dialect m_dialect = make_native_dialect(); ///< of the targets
+    /// How long this node has known a version when an entry that does not know it is behind;
+    /// nullopt: entries are not checked.
+    std::optional<duration> m_settle_time;
 };
 
 /// Callbacks into the rest of the node.
@@ -77,6 +81,7 @@
 
     void serve(server_exchange& exchange);
     void issue_ticket(server_exchange& exchange);
+    [[nodiscard]] bool is_outdated(const http::header<true>& request, const std::string& service);
 
     boost::asio::io_context& m_io;
     timer_service& m_timers;
@@ -91,6 +96,7 @@
         m_ticket_completions; ///< by the serial number of a running ticket
     std::map<std::string, std::shared_ptr<owned_target>> m_targets; ///< by name
     std::set<owner_exchange*> m_exchanges;                          ///< in progress
+    settled_version m_settled_version;
     http_server m_server;
 };
 
--- a/pomelohead/node/node_options.cc
+++ b/pomelohead/node/node_options.cc
@@ -138,6 +138,10 @@
     options.m_max_buffered_bytes_per_request = knobs.whole<std::size_t>("upload_buffer_kib") * kib;
     options.m_max_buffered_bytes = knobs.whole<std::size_t>("upload_buffers_mib") * mib;
     options.m_admission = admission_options_of(knobs);
+    if (settings.m_in_force_within) {
+        // The other half is for the entry to notice by itself.
+        options.m_settle_time = *settings.m_in_force_within / 2;
+    }
     options.m_quarantine.m_lifetime = knobs.seconds("quarantine_s");
     options.m_tickets.m_lifetime = knobs.seconds("ticket_s");
     options.m_tickets.m_answer_lifetime = knobs.seconds("ticket_s");
--- a/pomelohead/outcome/entry_machine.cc
+++ b/pomelohead/outcome/entry_machine.cc
@@ -28,7 +28,7 @@
 {
     return why == cause::quarantined || why == cause::malformed_request ||
            why == cause::body_too_large || why == cause::headers_too_large ||
-           why == cause::deadline;
+           why == cause::deadline || why == cause::outdated_configuration;
 }
 
 attempt_phase phase_after_loss(attempt_phase phase)
