Limits of the feed: losses count from the call after a change

changes_are_in_force_in_time_when_the_call_after_them_is_lost adds the batch delay to each loss. Since the age of knowledge bounds the wait, it counts from the call before the change, so that the delay is in it already: relay_loss() is given without it. What holds as a whole is shown by feed_worst_case_test.

--- a/pomelohead/discovery/relay_timing.h
+++ b/pomelohead/discovery/relay_timing.h
@@ -13,6 +13,8 @@
 
 #include "pomelohead/runtime/timer_service.h"
 
+#include <algorithm>
+
 namespace pomelohead::discovery {
 
 struct relay_timing {
@@ -36,8 +38,9 @@
     bool operator==(const relay_timing&) const = default;
 
     /// The longest time until a follower calls the store after its relay has gone silent, or has
-    /// learned nothing any more.
-    [[nodiscard]] milliseconds relay_loss() const { return m_max_age; }
+    /// learned nothing any more, from the relay's call after a change on: until that call the age
+    /// counts from the one before the change.
+    [[nodiscard]] milliseconds relay_loss() const { return m_max_age - m_batch_delay; }
 
     /// The longest time until a node that watches the store calls it again after the watch has gone
     /// silent.
@@ -46,8 +49,8 @@
         return m_store_watch_wait + m_store_answer_slack;
     }
 
-    /// The same if it looks for a relay first.
-    [[nodiscard]] milliseconds direct_loss() const { return store_loss() + m_search; }
+    /// The same if it looks for a relay in between, which ends once the store has to be called.
+    [[nodiscard]] milliseconds direct_loss() const { return std::max(store_loss(), relay_loss()); }
 };
 
 /// `in_force_within`: the time from the store's acknowledgement of a change until all nodes
