--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -24,9 +24,6 @@
 // Time after the caller's deadline in which an owner's own "not run" may still arrive.
 constexpr duration deadline_grace = std::chrono::milliseconds(20);
 
-// An outdated node calls the store, which answers within a few milliseconds if it can be reached.
-constexpr milliseconds outdated_retry_hint{100};
-
 bool is_valid_request_id(std::string_view text)
 {
     return !text.empty() && text.size() <= max_request_id_bytes &&
--- a/pomelohead/forwarding/headers.h
+++ b/pomelohead/forwarding/headers.h
@@ -61,6 +61,10 @@
 /// Identifies a large body by a digest of its first bytes.
 [[nodiscard]] std::string body_digest(std::string_view body);
 
+/// When a caller may come back to an entry that is behind. It calls the store by itself, which
+/// answers within a few milliseconds if it can be reached.
+inline constexpr std::chrono::milliseconds outdated_retry_hint{100};
+
 /// The largest accepted deadline or remaining time.
 inline constexpr std::chrono::milliseconds max_deadline = std::chrono::hours(24);
 
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -26,9 +26,6 @@
 // Responses to earlier requests that are discarded before the connection is closed.
 constexpr std::size_t max_discarded_responses = 3;
 
-// The entry calls the store by itself once it has been behind for long enough.
-constexpr milliseconds outdated_retry_hint{100};
-
 constexpr duration response_write_timeout = std::chrono::seconds(10);
 constexpr milliseconds default_deadline = std::chrono::minutes(1);
 
