--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -54,6 +54,7 @@
     if (m_request.m_has_caller_left()) {
         return record_result(routing::attempt_result::cancelled);
     }
+    m_written_at = clock_type::now();
     report_event(entry_event_kind::before_request_write);
     if (write_request() && read_head()) {
         read_response();
--- a/pomelohead/forwarding/entry_attempt.h
+++ b/pomelohead/forwarding/entry_attempt.h
@@ -57,6 +57,8 @@
     [[nodiscard]] const std::string& response_prefix() const { return m_response_prefix; }
     [[nodiscard]] bool is_fully_buffered() const { return m_state == body_state::end; }
     [[nodiscard]] duration latency() const { return m_latency; }
+    /// When the first byte was about to be written; nothing if none was.
+    [[nodiscard]] std::optional<time_point> written_at() const { return m_written_at; }
 
 private:
     bool write_request();
@@ -82,6 +84,7 @@
     bool m_abandoned = false;
     bool m_ended = false;
     time_point m_started{};
+    std::optional<time_point> m_written_at;
     duration m_latency{};
 };
 
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -81,19 +81,32 @@
     return is_left;
 }
 
+std::optional<time_point> entry_exchange::last_written_at() const
+{
+    std::optional<time_point> last;
+    for (const auto& attempt : m_attempts) {
+        last = std::max(last, attempt->written_at());
+    }
+    return last;
+}
+
 void entry_exchange::record_if_unanswered() const
 {
     if (m_exchange.is_answered()) {
         return;
     }
+    const std::optional<time_point> last_written = last_written_at();
     const request_phase phase = m_exchange.answered()         ? request_phase::answering
-                                : !m_attempts.empty()         ? request_phase::at_target
+                                : last_written                ? request_phase::at_target
                                 : m_exchange.request().done() ? request_phase::queued
                                                               : request_phase::reading;
     if (m_exchange.has_caller_left()) {
-        record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::caller, m_unread,
-                                               clock_type::now() - m_arrived,
-                                               !is_closed_by_peer(m_exchange.stream())});
+        const time_point left_at = m_caller_left_at.value_or(clock_type::now());
+        record_caller_left(
+            m_service.m_stats,
+            {m_request_id, phase, request_side::caller, m_unread, clock_type::now() - m_arrived,
+             !is_closed_by_peer(m_exchange.stream()),
+             last_written ? std::optional(left_at - *last_written) : std::nullopt});
         return;
     }
     std::string why(outcome::to_string(m_state.m_last_cause));
@@ -284,6 +297,9 @@
 
 void entry_exchange::process_event(const outcome::entry_event& event)
 {
+    if (event.m_kind == entry_event_kind::caller_disconnected && !m_caller_left_at) {
+        m_caller_left_at = clock_type::now();
+    }
     outcome::entry_step next = outcome::step(m_state, event);
     m_state = std::move(next.m_state);
     for (const outcome::entry_action& action : next.m_actions) {
--- a/pomelohead/forwarding/entry_exchange.h
+++ b/pomelohead/forwarding/entry_exchange.h
@@ -37,6 +37,7 @@
     bool fit_into_stop();
     void build_owner_request_head();
     bool end_if_caller_left();
+    [[nodiscard]] std::optional<time_point> last_written_at() const;
     void run_actions();
     [[nodiscard]] time_point next_timeout();
 
@@ -71,6 +72,7 @@
     outcome::entry_state m_state;
     std::deque<outcome::entry_action> m_pending_actions;
     fiber_event m_event_processed;
+    std::optional<time_point> m_caller_left_at;
     std::vector<std::shared_ptr<entry_attempt>> m_attempts;
     std::optional<time_point> m_hedge_at;
     std::unique_ptr<exchange_watch> m_watch;
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -101,9 +101,13 @@
                                 : m_exchange.request().done()   ? request_phase::queued
                                                                 : request_phase::reading;
     if (m_exchange.has_caller_left()) {
-        record_caller_left(m_service.m_stats, {m_request_id, phase, request_side::owner, m_unread,
-                                               clock_type::now() - m_arrived,
-                                               !is_closed_by_peer(m_exchange.stream())});
+        const bool is_passed_on = m_handed_over != time_point{};
+        const time_point left_at = m_entry_left_at.value_or(clock_type::now());
+        record_caller_left(
+            m_service.m_stats,
+            {m_request_id, phase, request_side::owner, m_unread, clock_type::now() - m_arrived,
+             !is_closed_by_peer(m_exchange.stream()),
+             is_passed_on ? std::optional(left_at - m_handed_over) : std::nullopt});
         return;
     }
     std::string why(outcome::to_string(m_state.m_end.m_cause));
@@ -362,6 +366,9 @@
 
 void owner_exchange::process_event(const outcome::owner_event& event)
 {
+    if (event.m_kind == owner_event_kind::entry_disconnected && !m_entry_left_at) {
+        m_entry_left_at = clock_type::now();
+    }
     outcome::owner_step next = outcome::step(m_state, event);
     m_state = next.m_state;
     for (const outcome::owner_action& action : next.m_actions) {
--- a/pomelohead/forwarding/owner_exchange.h
+++ b/pomelohead/forwarding/owner_exchange.h
@@ -80,6 +80,7 @@
     bool m_isolated = false;
     std::uint64_t m_epoch = 0;
     time_point m_handed_over{};
+    std::optional<time_point> m_entry_left_at;
     milliseconds m_retry_hint{};
     std::string m_detail; ///< reason of a refusal, for the log
     std::optional<outcome::ticket> m_ticket;
--- a/pomelohead/forwarding/unanswered_request.cc
+++ b/pomelohead/forwarding/unanswered_request.cc
@@ -5,7 +5,8 @@
 namespace pomelohead::forwarding {
 namespace {
 
-// Above the granularity of the system's clock for sockets.
+// Above the granularity of the system's clock for sockets, and above the time in which the event
+// loop tells of the end of a connection.
 constexpr duration late_read = std::chrono::milliseconds(20);
 
 } // namespace
@@ -35,7 +36,7 @@
     const std::string phase(to_string(request.m_phase));
     const std::string side(to_string(request.m_side));
     stats.add("requests_unanswered_total", {{"side", side}, {"phase", phase}});
-    log_request(
+    log_lost_request(
         log_level::warning, "request_unanswered",
         {{"id", request.m_id}, {"phase", phase}, {"side", side}, {"reason", request.m_reason}});
 }
@@ -47,14 +48,17 @@
     const auto ms = [](duration d) { return std::chrono::duration<double, std::milli>(d).count(); };
     stats.add("callers_left_total", {{"side", side}, {"phase", phase}});
     // Callers leave often; what tells of a host that is late to read is rare.
-    const bool is_late = request.m_unread >= late_read || request.m_left_behind_unread_bytes;
-    log_request(is_late ? log_level::info : log_level::debug, "caller_left",
-                {{"id", request.m_id},
-                 {"phase", phase},
-                 {"side", side},
-                 {"unread_ms", ms(request.m_unread)},
-                 {"left_behind_unread_bytes", request.m_left_behind_unread_bytes},
-                 {"ms", ms(request.m_held)}});
+    // One that leaves right after its request was passed on may have left long before.
+    const bool is_late = request.m_unread >= late_read || request.m_left_behind_unread_bytes ||
+                         (request.m_passed_on && *request.m_passed_on < late_read);
+    log_lost_request(is_late ? log_level::info : log_level::debug, "caller_left",
+                     {{"id", request.m_id},
+                      {"phase", phase},
+                      {"side", side},
+                      {"unread_ms", ms(request.m_unread)},
+                      {"left_behind_unread_bytes", request.m_left_behind_unread_bytes},
+                      {"passed_on_ms", request.m_passed_on ? ms(*request.m_passed_on) : -1.0},
+                      {"ms", ms(request.m_held)}});
 }
 
 } // namespace pomelohead::forwarding
--- a/pomelohead/telemetry/log.cc
+++ b/pomelohead/telemetry/log.cc
@@ -26,6 +26,7 @@
     log4cplus::Logger m_logger = log4cplus::Logger::getRoot();
     std::string m_node;
     line_budget m_request_lines;
+    line_budget m_lost_request_lines;
 };
 
 std::optional<log_state>& state()
@@ -92,9 +93,9 @@
     return ::poll(&out, 1, 0) > 0 && (out.revents & (POLLERR | POLLNVAL)) == 0;
 }
 
-void write_line(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+void write_line(line_budget& budget, log_level level, std::string_view event,
+                std::initializer_list<log_field> fields)
 {
-    line_budget& budget = state()->m_request_lines;
     if (!is_output_ready()) {
         budget.drop();
         return;
@@ -115,6 +116,14 @@
     state()->m_logger.forcedLog(library_level(level), text);
 }
 
+void write_within(line_budget& budget, log_level level, std::string_view event,
+                  std::initializer_list<log_field> fields)
+{
+    if (budget.take(clock_type::now())) {
+        write_line(budget, level, event, fields);
+    }
+}
+
 std::string describe(const std::exception_ptr& failure)
 {
     if (!failure) {
@@ -172,20 +181,30 @@
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (is_written(level)) {
-        write_line(level, event, fields);
+        write_line(state()->m_request_lines, level, event, fields);
     }
 }
 
 void log_request(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    if (is_written(level) && state()->m_request_lines.take(clock_type::now())) {
-        write_line(level, event, fields);
+    if (is_written(level)) {
+        write_within(state()->m_request_lines, level, event, fields);
+    }
+}
+
+void log_lost_request(log_level level, std::string_view event,
+                      std::initializer_list<log_field> fields)
+{
+    if (is_written(level)) {
+        write_within(state()->m_lost_request_lines, level, event, fields);
     }
 }
 
 std::uint64_t dropped_log_lines()
 {
-    return state() ? state()->m_request_lines.dropped_in_all() : 0;
+    return state() ? state()->m_request_lines.dropped_in_all() +
+                         state()->m_lost_request_lines.dropped_in_all()
+                   : 0;
 }
 
 } // namespace pomelohead
--- a/pomelohead/telemetry/log.h
+++ b/pomelohead/telemetry/log.h
@@ -70,6 +70,11 @@
 /// The same for a line about one request, within the node's line budget (line_budget.h).
 void log_request(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+/// The same for a request whose connection ended before its response, within a budget of its own:
+/// refusals, of which an overloaded node writes many, do not take its place.
+void log_lost_request(log_level level, std::string_view event,
+                      std::initializer_list<log_field> fields);
+
 /// Lines that were not written since the start.
 [[nodiscard]] std::uint64_t dropped_log_lines();
 
