An entry asks the socket whether its caller has left right before each write to an owner

Cause: an entry without processor time reads a request and the end of its connection at once. Over a connection to the owner that is open already it writes the request in the same turn; the watch tells of the end in the next. Since it asked the socket only where further requests lay behind, taking the watch for a sign that comes in time.

Why it works: the system knows of the end from the moment it has arrived, whatever the event loop has handled, and each attempt, retry and hedge passes this place right before its first byte.

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -69,12 +69,11 @@
     m_fibers.wait();
 }
 
-// A host that is late to read may find requests and the end of their connection at once. The watch
-// tells of an end that stands right behind the request.
+// A host that is late to read finds a request and the end of its connection at once, and the watch
+// tells of the end only once the event loop runs again.
 bool entry_exchange::end_if_caller_left()
 {
-    const bool is_left =
-        !m_request.m_streamed && m_exchange.has_more_behind() && m_exchange.has_caller_left();
+    const bool is_left = !m_request.m_streamed && m_exchange.has_caller_left();
     if (is_left) {
         process_event({.m_kind = entry_event_kind::caller_disconnected});
     }
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -135,12 +135,6 @@
     /// Whether the response has been written to its end.
     [[nodiscard]] bool is_answered() const { return m_is_answered; }
 
-    /// Whether further requests have been read behind this one.
-    [[nodiscard]] bool has_more_behind() const
-    {
-        return m_connection.m_buffer.size() > 0 || m_connection.m_started_requests > m_number;
-    }
-
     /// Whether the caller has closed the connection, even behind bytes that have not been read.
     [[nodiscard]] bool has_caller_left() const;
 
