An upload that is streamed is not passed on after its caller has left

Cause: the question whether a caller has left was not asked for a body that does not fit the entry's buffer, as no watch can stand beside its reads. A caller that has sent all of it and left lies in the socket as a whole upload.

Change: the state of the socket needs no read, so it is asked for each attempt, and again when the owner asks for the body, which may be a slot's time later.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -122,6 +122,10 @@
     if (m_reader->head().result_int() != 100) {
         return true;
     }
+    // The owner may have asked for the body long after the caller left.
+    if (m_request.m_has_caller_left()) {
+        return false;
+    }
     return m_request.m_streamed ? stream_body() : send_body_after_continue();
 }
 
--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -73,7 +73,7 @@
 // tells of the end only once the event loop runs again.
 bool entry_exchange::end_if_caller_left()
 {
-    const bool is_left = !m_request.m_streamed && m_exchange.has_caller_left();
+    const bool is_left = m_exchange.has_caller_left();
     if (is_left) {
         process_event({.m_kind = entry_event_kind::caller_disconnected});
     }
