A request whose time passes before it is written is refused as not run

Cause: between the choice of an owner and the write of an attempt lie fibers and perhaps a connect; nothing looked at the deadline there. The write failed at once with its time-out, the attempt counted as written, and the caller was told that the request may have run (504), though no byte had left this host; a retry or a hedge passes the same place.

Change: the deadline is looked at right before the first byte, beside the question whether the caller has left.

--- a/pomelohead/forwarding/entry_attempt.cc
+++ b/pomelohead/forwarding/entry_attempt.cc
@@ -54,6 +54,10 @@
     if (m_request.m_has_caller_left()) {
         return record_result(routing::attempt_result::cancelled);
     }
+    if (clock_type::now() >= m_request.m_deadline) {
+        record_result(routing::attempt_result::cancelled);
+        return report_event(entry_event_kind::deadline);
+    }
     m_written_at = clock_type::now();
     report_event(entry_event_kind::before_request_write);
     if (write_request() && read_head()) {
