A listener accepts all connections that wait in one turn of the event loop

What waits to be accepted is also what is read last, and by then its caller may have left.

Cause: one accept for each turn of the event loop, and a turn runs up to 64 handlers and all fibers that they make ready. The class: work that is due is bounded by how often a loop comes round, which overload itself makes rare.

Evidence: a_busy_server_accepts_the_connections_that_wait_together failed before (51 turns for 50 connections) and passes now.

--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -19,6 +19,10 @@
 constexpr std::size_t max_linger_bytes = 16UL * 1024UL * 1024UL;
 constexpr int accept_backlog = 1024;
 
+// Connections accepted at one go. The event loop comes back to the listener once for each round of
+// the requests in progress, which takes long on a busy host.
+constexpr std::size_t max_accepts_per_turn = 64;
+
 // Idle limits are in seconds, and a connection may stay open a little longer.
 constexpr duration idle_check_period = std::chrono::seconds(1);
 
@@ -261,7 +265,11 @@
         if (m_listener_closed && (error || !has_bytes(socket))) {
             return;
         }
-        if (error || !guarded_call("accept_failed", [&] { admit(std::move(socket)); })) {
+        const bool is_admitted = !error && guarded_call("accept_failed", [&] {
+            admit(std::move(socket));
+            accept_waiting(max_accepts_per_turn);
+        });
+        if (!is_admitted) {
             sleep_for(accept_retry_delay);
         }
     }
@@ -276,11 +284,12 @@
 }
 
 // Callers whose connections wait in the system's queue may have sent their requests.
-void http_server::accept_waiting()
+void http_server::accept_waiting(std::size_t limit)
 {
     error_code error;
     m_acceptor.non_blocking(true, error);
-    while (!error && m_open.size() < m_options.m_max_connections) {
+    for (std::size_t i = 0; !error && i < limit && m_open.size() < m_options.m_max_connections;
+         ++i) {
         boost::asio::ip::tcp::socket socket(m_io);
         m_acceptor.accept(socket, error);
         if (!error) {
@@ -481,7 +490,7 @@
     }
     m_listener_closed = true;
     m_closing = true;
-    accept_waiting();
+    accept_waiting(m_options.m_max_connections);
     error_code ignored;
     m_acceptor.close(ignored);
     m_idle_check.cancel();
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -206,7 +206,7 @@
 
     void accept_loop();
     void admit(boost::asio::ip::tcp::socket socket);
-    void accept_waiting();
+    void accept_waiting(std::size_t limit);
     void wait_idle(connection_list::iterator position);
     void close_idle();
     void serve(connection_list::iterator position, std::uint64_t number);
