A connection whose caller has left is closed without reading its requests

Cause: on a host without processor time most of what is read belongs to callers that have given up. Each such request cost a fiber, a parse, a route, the choice of an owner and an attempt before the socket was asked, at the cost of those who wait.

Change: entry and owner ask the socket as soon as an idle connection has bytes, before a fiber is started. A plain close of an idle connection costs no fiber any more either. Other listeners are as before.

Evidence: request_whose_caller_left_is_not_written_to_an_open_owner_connection says now for both moments, before the read and between read and write, that the owner gets nothing, and that the entry reads nothing in the first; the second half failed before (2 requests read instead of 1).

--- a/pomelohead/forwarding/entry_exchange.cc
+++ b/pomelohead/forwarding/entry_exchange.cc
@@ -101,11 +101,10 @@
                                                               : request_phase::reading;
     if (m_exchange.has_caller_left()) {
         const time_point left_at = m_caller_left_at.value_or(clock_type::now());
-        record_caller_left(
-            m_service.m_stats,
-            {m_request_id, phase, request_side::caller, m_unread, clock_type::now() - m_arrived,
-             !is_closed_by_peer(m_exchange.stream()),
-             last_written ? std::optional(left_at - *last_written) : std::nullopt});
+        record_caller_left(m_service.m_stats,
+                           {m_request_id, phase, request_side::caller, m_unread,
+                            clock_type::now() - m_arrived, !is_closed_by_peer(m_exchange.stream()),
+                            last_written ? std::optional(left_at - *last_written) : std::nullopt});
         return;
     }
     std::string why(outcome::to_string(m_state.m_last_cause));
--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -34,10 +34,12 @@
           return m_callbacks.m_is_alive(t.m_host) &&
                  !m_lost_hosts.is_unreachable(t.m_host, m_timers.now());
       }),
-      m_server(
-          io, m_options.m_listen,
-          {.m_head = {}, .m_pipelining = m_options.m_pipelining, .m_spare_fibers = spare_fibers},
-          [this](server_exchange& e) { serve(e); })
+      m_server(io, m_options.m_listen,
+               {.m_head = {},
+                .m_pipelining = m_options.m_pipelining,
+                .m_skip_left = true,
+                .m_spare_fibers = spare_fibers},
+               [this](server_exchange& e) { serve(e); })
 {
 }
 
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -329,7 +329,9 @@
             }
             connection& woken = **position;
             woken.m_is_idle = false;
-            if (error) {
+            // A busy host finds requests here whose callers have given up.
+            const bool is_left = m_options.m_skip_left && has_peer_left(woken.m_stream);
+            if (error || is_left) {
                 m_open.erase(position);
                 return;
             }
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -47,6 +47,9 @@
     duration m_idle_limit = std::chrono::seconds(75); ///< between exchanges on one connection
     head_limits m_head;
     bool m_pipelining = false;
+    /// Closes a connection whose peer has left without reading what it sent before. A peer that
+    /// only shuts down its sending side counts as gone.
+    bool m_skip_left = false;
     /// Fibers that have to be left, for other work of the node, where a request is taken.
     std::size_t m_spare_fibers = 32;
 };
--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -103,11 +103,10 @@
     if (m_exchange.has_caller_left()) {
         const bool is_passed_on = m_handed_over != time_point{};
         const time_point left_at = m_entry_left_at.value_or(clock_type::now());
-        record_caller_left(
-            m_service.m_stats,
-            {m_request_id, phase, request_side::owner, m_unread, clock_type::now() - m_arrived,
-             !is_closed_by_peer(m_exchange.stream()),
-             is_passed_on ? std::optional(left_at - m_handed_over) : std::nullopt});
+        record_caller_left(m_service.m_stats,
+                           {m_request_id, phase, request_side::owner, m_unread,
+                            clock_type::now() - m_arrived, !is_closed_by_peer(m_exchange.stream()),
+                            is_passed_on ? std::optional(left_at - m_handed_over) : std::nullopt});
         return;
     }
     std::string why(outcome::to_string(m_state.m_end.m_cause));
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -34,7 +34,8 @@
       m_ledger(m_options.m_tickets, m_options.m_listen.m_address, m_options.m_incarnation,
                random_u64),
       m_settled_version(m_options.m_settle_time.value_or(duration{})),
-      m_server(io, m_options.m_listen, {}, [this](server_exchange& e) { serve(e); })
+      m_server(io, m_options.m_listen, {.m_head = {}, .m_skip_left = true},
+               [this](server_exchange& e) { serve(e); })
 {
 }
 
--- a/pomelohead/forwarding/unanswered_request.h
+++ b/pomelohead/forwarding/unanswered_request.h
@@ -52,7 +52,7 @@
     duration m_unread{};                     ///< for which its bytes had been here when it was read
     duration m_held{};                       ///< from then on until it ended
     bool m_left_behind_unread_bytes = false; ///< of further requests
-    std::optional<duration> m_passed_on; ///< for which it had been passed on when its peer left
+    std::optional<duration> m_passed_on;     ///< for which it had been passed on when its peer left
 };
 
 void record_caller_left(metrics& stats, const abandoned_request& request);
