--- a/pomelohead/forwarding/entry_service.cc
+++ b/pomelohead/forwarding/entry_service.cc
@@ -2,6 +2,7 @@
 
 #include "pomelohead/forwarding/entry_exchange.h"
 #include "pomelohead/forwarding/headers.h"
+#include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/runtime/guarded_call.h"
 
 #include <set>
@@ -37,8 +38,8 @@
       m_server(io, m_options.m_listen,
                {.m_head = {},
                 .m_pipelining = m_options.m_pipelining,
-                .m_skip_left = true,
-                .m_spare_fibers = spare_fibers},
+                .m_spare_fibers = spare_fibers,
+                .m_on_left_unread = [this] { record_left_unread(m_stats, request_side::caller); }},
                [this](server_exchange& e) { serve(e); })
 {
 }
--- a/pomelohead/forwarding/http_server.cc
+++ b/pomelohead/forwarding/http_server.cc
@@ -215,8 +215,8 @@
 
 http_server::http_server(boost::asio::io_context& io, endpoint where, server_options options,
                          handler on_request)
-    : m_io(io), m_where(std::move(where)), m_options(options), m_handler(std::move(on_request)),
-      m_acceptor(io), m_idle_check(io)
+    : m_io(io), m_where(std::move(where)), m_options(std::move(options)),
+      m_handler(std::move(on_request)), m_acceptor(io), m_idle_check(io)
 {
 }
 
@@ -330,7 +330,11 @@
             connection& woken = **position;
             woken.m_is_idle = false;
             // A busy host finds requests here whose callers have given up.
-            const bool is_left = m_options.m_skip_left && has_peer_left(woken.m_stream);
+            const bool is_left =
+                !error && m_options.m_on_left_unread && has_peer_left(woken.m_stream);
+            if (is_left && has_bytes(woken.m_stream.socket())) {
+                m_options.m_on_left_unread();
+            }
             if (error || is_left) {
                 m_open.erase(position);
                 return;
--- a/pomelohead/forwarding/http_server.h
+++ b/pomelohead/forwarding/http_server.h
@@ -47,11 +47,12 @@
     duration m_idle_limit = std::chrono::seconds(75); ///< between exchanges on one connection
     head_limits m_head;
     bool m_pipelining = false;
-    /// Closes a connection whose peer has left without reading what it sent before. A peer that
-    /// only shuts down its sending side counts as gone.
-    bool m_skip_left = false;
     /// Fibers that have to be left, for other work of the node, where a request is taken.
     std::size_t m_spare_fibers = 32;
+    /// If set, a connection whose peer has left is closed without reading what it sent before, and
+    /// this is called if there was anything. A peer that only shuts down its sending side counts
+    /// as gone.
+    std::function<void()> m_on_left_unread = {};
 };
 
 class http_server;
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -2,6 +2,7 @@
 
 #include "pomelohead/forwarding/headers.h"
 #include "pomelohead/forwarding/owner_exchange.h"
+#include "pomelohead/forwarding/unanswered_request.h"
 #include "pomelohead/runtime/guarded_call.h"
 #include "pomelohead/telemetry/log.h"
 
@@ -34,7 +35,9 @@
       m_ledger(m_options.m_tickets, m_options.m_listen.m_address, m_options.m_incarnation,
                random_u64),
       m_settled_version(m_options.m_settle_time.value_or(duration{})),
-      m_server(io, m_options.m_listen, {.m_head = {}, .m_skip_left = true},
+      m_server(io, m_options.m_listen,
+               {.m_head = {},
+                .m_on_left_unread = [this] { record_left_unread(m_stats, request_side::owner); }},
                [this](server_exchange& e) { serve(e); })
 {
 }
--- a/pomelohead/forwarding/unanswered_request.h
+++ b/pomelohead/forwarding/unanswered_request.h
@@ -22,6 +22,7 @@
 
 /// How far a request had come.
 enum class request_phase {
+    unread,    ///< nothing of it has been read
     reading,   ///< its body is not complete
     queued,    ///< nothing of it has been passed on
     at_target, ///< passed on: by an entry to an owner, by an owner to its target
@@ -55,6 +56,9 @@
     std::optional<duration> m_passed_on;     ///< for which it had been passed on when its peer left
 };
 
+/// Counts a connection that ended with unread bytes of a request.
+void record_left_unread(metrics& stats, request_side side);
+
 void record_caller_left(metrics& stats, const abandoned_request& request);
 
 } // namespace pomelohead::forwarding
