Let the backend of review case 7 end while it has late work

The backend that left ends half a second after it has got work again, so that the run shows what becomes of that work.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,8 +15,9 @@
 CUT_S = 5.5             # core_cut of the site
 GONE_AFTER_S = 1.0      # the entry is removed so long after the cut began
 JOINS_AFTER_S = 1.0     # another backend joins so long after that
-SERVES_ON_S = 8.0       # the backend that left serves on for "many seconds"
-WORK_S = 0.1
+SERVES_ON_S = 8.0       # the backend that left serves on for "many seconds" at most,
+LATE_WORK_S = 0.5       # or for so long after it has got work again
+WORK_S = 0.3
 ZONES = ("dolgellau", "dolgellau", "dolgellau", "bala", "bala")
 
 
@@ -80,7 +81,12 @@
             if trouble:
                 relay.link.heal()
                 mesh.record(f"{relay.name} reaches the store again")
-            await asyncio.sleep(gone_at + SERVES_ON_S - time.monotonic())
+            late_from = gone_at + m.DRAIN_S
+            while time.monotonic() < gone_at + SERVES_ON_S:
+                first_late = next((t for t, _ in leaving.arrivals if t > late_from), None)
+                if first_late and time.monotonic() > first_late + LATE_WORK_S:
+                    break
+                await asyncio.sleep(0.01)
             leaving.end()
             left_at = time.monotonic()
             await asyncio.sleep(1.5)
