--- a/review/10/case.py
+++ b/review/seen-2/another-writer/case.py
@@ -7,7 +7,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "standin-2"))
+sys.path.insert(0, str(HERE.parent.parent / "standin-2"))
 import mesh as m
 
 CALM_S = 5.0
