--- a/review/standin-2/mesh.py
+++ b/review/standin-2/mesh.py
@@ -182,6 +182,8 @@
                 body = await self._watch(query)
             elif url.path == "/pomelohead/kv-key":
                 body = self._items.get(query.get("key", ""))
+                if body is not None:
+                    body = {**body, "storeRevision": self._revision}
             data = b"" if body is None else json.dumps(body).encode()
             status = "404 Not Found" if body is None else "200 OK"
             writer.write(message(f"HTTP/1.1 {status}", [("Content-Type", "application/json")], data))
@@ -259,6 +261,14 @@
             remote_writer.transport.abort()
 
 
+class Boot:
+    """What one start of a backend runs and holds in its queue."""
+
+    def __init__(self):
+        self.at_work = 0
+        self.waiting = []
+
+
 class Backend:
     """A backend beside a node: slots and a queue, and a registration that it keeps current."""
 
@@ -272,8 +282,7 @@
         self.is_draining = False
         self.is_up = False
         self.arrivals = []  # (time, attempt id)
-        self._at_work = 0
-        self._waiting = []
+        self._boot = Boot()
         self._sequence = 0
         self._born = 0
         self._http = None
@@ -287,8 +296,7 @@
         """Starts, as a new boot that knows nothing of an earlier one, and registers."""
         self._http = HttpServer(self._serve)
         await self._http.start(self.address, self.mesh.app_port)
-        self._at_work = 0
-        self._waiting = []
+        self._boot = Boot()
         self._sequence = 0
         self._born = int((time.time() + self.clock_offset_s) * 1000)
         self.is_draining = False
@@ -333,7 +341,7 @@
         self._beats.cancel()
         self._http.close()
         self.is_up = False
-        self.mesh.record(f"backend {self.identity} ends, {self._at_work} requests at work")
+        self.mesh.record(f"backend {self.identity} ends, {self._boot.at_work} requests at work")
 
     async def _serve(self, reader, writer):
         boot = self._born
@@ -361,19 +369,27 @@
             return "421 Misdirected Request", echo + [("Pomelohead-Not-Executed", "1")], b""
         self.arrivals.append((time.monotonic(), attempt))
         self.mesh.record(f"backend {self.identity} gets {attempt} {method} {target}")
-        if self._at_work >= SLOTS:
-            if len(self._waiting) >= QUEUE:
+        boot = self._boot
+        stops_at = time.monotonic() + int(fields.get("pomelohead-deadline-ms", 60_000)) / 1000
+        if boot.at_work >= SLOTS:
+            if len(boot.waiting) >= QUEUE:
                 return "503 Full", echo + [("Pomelohead-Not-Executed", "1")], b""
             turn = asyncio.get_running_loop().create_future()
-            self._waiting.append(turn)
-            await turn
-        self._at_work += 1
+            boot.waiting.append(turn)
+            await asyncio.wait([turn], timeout=stops_at - time.monotonic())
+            if not turn.done():
+                boot.waiting.remove(turn)
+                return "503 Late", echo + [("Pomelohead-Not-Executed", "1")], b""
+        boot.at_work += 1
         try:
-            await self.run(attempt, method, target, fields, body)
+            await asyncio.wait_for(self.run(attempt, method, target, fields, body),
+                                   stops_at - time.monotonic())
+        except TimeoutError:
+            return "504 Time budget", echo + [("Pomelohead-Response-Seal", "late")], b"late"
         finally:
-            self._at_work -= 1
-            if self._waiting:
-                self._waiting.pop(0).set_result(None)
+            boot.at_work -= 1
+            if boot.waiting:
+                boot.waiting.pop(0).set_result(None)
         text = f"{self.identity} {attempt} {hashlib.sha256(body).hexdigest()[:12]}\n".encode() * 20
         seal = hashlib.sha256(text).hexdigest()[:16]
         return "200 OK", echo + [("Pomelohead-Response-Seal", seal)], text
@@ -407,7 +423,7 @@
             "internalPorts": f"{mesh.ports['internal']},{mesh.ports['internal'] + 15}",
             "seeds": ",".join(f"{mesh.host(n)}:{mesh.ports['control']}"
                               for n in range(min(3, mesh.size))),
-            "bootstrap": "true", "faultCounted": "false", "limits.cpuShare": "0.2",
+            "bootstrap": "true" if self.process is None else "false", "faultCounted": "false", "limits.cpuShare": "0.2",
             "limits.cores": "1", "limits.memoryMb": "260", "limits.maxFds": "4100",
             "limits.linkMbps": "1000.0", "limits.diskMb": "0", "discovery": "platform",
             "entry": "static", "heartbeatMs": "1500",
@@ -581,7 +597,9 @@
                 self.host(node.number), self.ports["outbound"],
                 self.request_bytes(attempt, method, path, deadline_ms, body, prefix),
                 deadline_ms / 1000 + 1)
-            self.record(f"client gets {attempt} {answer.status}")
+            wait = answer.fields.get("retry-after")
+            self.record(f"client gets {attempt} {answer.status}"
+                        + (f", retry after {wait} s" if wait else ""))
             return attempt, answer
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self.record(f"client gets {attempt} no answer: {type(error).__name__}")
