Log the store's revision of registrations and removals

Cause: target_registered and target_gone do not say which change of the store they follow. A target that comes back with the revision of its first registration was taken from a node that is behind; one with a later revision has registered again. The lines could not tell the two apart.

Change: both lines carry epoch and revision.

--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -112,7 +112,9 @@
                    {"host", received.m_host},
                    {"failure_domain", received.m_failure_domain},
                    {"slots", received.m_slots},
-                   {"cold_left_ms", received.m_warm_up_left.count()}});
+                   {"cold_left_ms", received.m_warm_up_left.count()},
+                   {"epoch", change.m_revision.m_epoch},
+                   {"revision", change.m_revision.m_number}});
     }
     m_instances[key] = std::move(received);
     m_changed = true;
@@ -185,7 +187,10 @@
         return;
     }
     log_event(log_level::info, "target_gone",
-              {{"target", it->second.m_id}, {"service", it->second.m_service}});
+              {{"target", it->second.m_id},
+               {"service", it->second.m_service},
+               {"epoch", revision.m_epoch},
+               {"revision", revision.m_number}});
     if (names_target(it->second)) {
         m_removed.add(key, it->second, revision.m_epoch);
     }
