Tell followers of a removal at once that a relay defers for itself

Cause: a node that was cut off from the store keeps missing keys for its removal grace. Its relay served them as present, and followers that had removed them in time took them from there.

Ruled out: a new registration (it has a later revision), a late removal (target_gone came in time at the followers).

Change: the follower reports a deferred removal with its revision, and the catalog passes it on at once; whether it is deferred, each node decides by its own contact. The relay's revision is complete meanwhile. An earlier value does not withdraw a deferred removal.

Why it works: followers that kept contact remove the key in time and are never offered it again; those that lost the store too have a grace of their own.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -136,10 +136,16 @@
                    {"ignored", list.m_ignored},
                    {"relayed", list.m_relayed}});
     };
-    hooks.m_on_removal_deferred = [&part](const std::string& key, duration grace_left) {
+    hooks.m_on_removal_deferred = [&part](const std::string& key,
+                                          const source::store_revision& revision,
+                                          duration grace_left) {
+        // The grace is for what this node has missed. Its followers may not have lost the store.
+        part.m_relay.remove(key, revision);
         log_event(log_level::info, "removal_deferred",
                   {{"part", part.m_name},
                    {"key", key},
+                   {"epoch", revision.m_epoch},
+                   {"revision", revision.m_number},
                    {"ms", std::chrono::duration_cast<milliseconds>(grace_left).count()}});
     };
     hooks.m_on_call_failed = [&part](const reason& why, duration pause) {
@@ -186,7 +192,7 @@
         part.m_relay.set_feed(source::relay_feed::relays);
     }
     else {
-        part.m_relay.set_complete_revision(part.m_follower->complete_revision());
+        part.m_relay.set_complete_revision(status.m_revision);
         part.m_relay.set_feed(source::relay_feed::store);
     }
 }
--- a/pomelohead/discovery/catalog_test.cc
+++ b/pomelohead/discovery/catalog_test.cc
@@ -325,6 +325,49 @@
     });
 }
 
+// Guards against a target that has left and comes into use again: a relay that was cut off from the
+// store keeps it for its own grace, and the nodes that follow the relay again took it from there.
+BOOST_AUTO_TEST_CASE(removal_that_a_relay_defers_after_a_cut_holds_for_its_followers)
+{
+    testing::run_in_fiber([](boost::asio::io_context& io) {
+        failure_domain_fixture d(io, std::nullopt, 0);
+        BOOST_TEST(d.all_nodes_have("target-0"));
+        d.m_store.put("leaving", "10.9.0.1");
+        BOOST_TEST(d.all_nodes_have("leaving"));
+        const int starting = d.m_relay == 1 ? 2 : 1; // neither the relay nor the seed
+        const auto count_others_with_it = [&] {
+            int count = 0;
+            for (int node = 0; node < node_count; ++node) {
+                count += node != d.m_relay && d.has_target(node, "leaving") ? 1 : 0;
+            }
+            return count;
+        };
+        d.m_is_disconnected.at(d.m_relay) = true;
+        d.m_store.erase("leaving");
+        d.m_store.put("later", "10.9.0.2");
+        for (int attempt = 0; attempt < 2'000 && count_others_with_it() > 0; ++attempt) {
+            sleep_for(10ms);
+        }
+        BOOST_TEST(count_others_with_it() == 0);
+        d.m_is_disconnected.at(d.m_relay) = false;
+        while (!d.has_target(d.m_relay, "later")) {
+            sleep_for(1ms);
+        }
+        BOOST_TEST(d.has_target(d.m_relay, "leaving")); // for the grace
+        d.replace_node(starting);
+        int most_with_it = 0;
+        bool has_started = false;
+        while (d.has_target(d.m_relay, "leaving")) {
+            most_with_it = std::max(most_with_it, count_others_with_it());
+            has_started = has_started || d.has_target(starting, "later");
+            sleep_for(5ms);
+        }
+        BOOST_TEST(has_started);
+        BOOST_TEST(most_with_it == 0);
+        BOOST_TEST(d.all_nodes_have("later"));
+    });
+}
+
 // A node without access to the store receives changes through its failure domain's relay.
 BOOST_AUTO_TEST_CASE(node_without_store_access_follows_the_relay)
 {
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -46,7 +46,7 @@
 store_revision store_follower::complete_revision() const
 {
     const bool is_certain = m_status.m_listed && std::ranges::none_of(m_keys, [](const auto& item) {
-                                return item.second.m_removal_pending;
+                                return item.second.is_removal_pending();
                             });
     return is_certain ? m_status.m_revision : store_revision{};
 }
@@ -83,9 +83,14 @@
                                    it->second.m_revision != present.m_earlier_revision)) {
             return false;
         }
+        if (it->second.is_removal_pending()) {
+            if (present.m_revision <= it->second.m_removed_at) {
+                continue; // the node that lists it does not know of its removal
+            }
+            return false; // its value has to be reported again
+        }
         it->second.m_revision = present.m_revision;
         it->second.m_in_list = true;
-        it->second.m_removal_pending = false;
     }
     return true;
 }
@@ -123,7 +128,8 @@
     }
     for (const key_change& item : page.m_items) {
         apply_value(item);
-        m_keys[item.m_key].m_in_list = true;
+        known_key& known = m_keys.at(item.m_key);
+        known.m_in_list = !known.is_removal_pending();
     }
     if (page.m_has_more && !page.m_items.empty()) {
         list_from(page.m_items.back().m_key);
@@ -248,11 +254,11 @@
 void store_follower::apply_value(const key_change& change)
 {
     known_key& known = m_keys[change.m_key];
-    if (change.m_revision < known.m_revision) {
+    if (change.m_revision < known.m_revision || change.m_revision <= known.m_removed_at) {
         ++m_list_ignored;
         return;
     }
-    known.m_removal_pending = false;
+    known.m_removed_at = {};
     if (change.m_revision > known.m_revision) {
         known.m_revision = change.m_revision;
         m_list_has_changes = true;
@@ -267,9 +273,11 @@
         return;
     }
     if (is_in_removal_grace()) {
-        if (!std::exchange(it->second.m_removal_pending, true)) {
-            m_hooks.m_on_removal_deferred(key, m_options.m_removal_grace -
-                                                   (m_timers.now() - *m_grace_started_at));
+        const bool was_pending = it->second.is_removal_pending();
+        it->second.m_removed_at = std::max(it->second.m_removed_at, revision);
+        if (!was_pending) {
+            m_hooks.m_on_removal_deferred(
+                key, revision, m_options.m_removal_grace - (m_timers.now() - *m_grace_started_at));
         }
         return;
     }
@@ -281,7 +289,7 @@
 {
     std::vector<std::string> expired;
     for (const auto& [key, known] : m_keys) {
-        if (known.m_removal_pending) {
+        if (known.is_removal_pending()) {
             expired.push_back(key);
         }
     }
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -10,7 +10,9 @@
 // During an outage of the store the leases of live writers may expire; they write their
 // entries again soon after the store has recovered. They also write again what a restore has
 // lost. Therefore a key that disappears during an outage or in a restore, or within the removal
-// grace after it, is reported as removed only if it is still missing at the end of the grace.
+// grace after it, is reported as removed only if it is still missing at the end of the grace. That
+// it is missing is reported at once, for those who receive the changes from this node: whether a
+// removal is to be deferred depends on what the receiver itself has missed.
 //
 // The follower does no I/O: it sends calls through hooks and passes a callback for the
 // answer. It never reports an older revision of a key after a newer one. A store that was
@@ -77,9 +79,10 @@
     std::function<void(const store_revision& known, const store_revision& answered)> m_on_restored =
         [](const store_revision&, const store_revision&) {};
     std::function<void(const list_summary&)> m_on_listed = [](const list_summary&) {};
-    /// A missing key is kept for `grace_left`, as its writer may write it again.
-    std::function<void(const std::string& key, duration grace_left)> m_on_removal_deferred =
-        [](const std::string&, duration) {};
+    /// A key that is missing since `revision` at the latest is kept for `grace_left`, as its writer
+    /// may write it again. m_on_put or m_on_removed follows.
+    std::function<void(const std::string& key, const store_revision& revision, duration grace_left)>
+        m_on_removal_deferred = [](const std::string&, const store_revision&, duration) {};
 };
 
 /// State of the contact with the store.
@@ -145,8 +148,12 @@
 
     struct known_key {
         store_revision m_revision;
-        bool m_removal_pending = false; ///< missing; to be removed at the end of the grace
-        bool m_in_list = false;         ///< seen in the current list
+        bool m_in_list = false; ///< seen in the current list
+        /// Of the answer that lacks the key, which is to be removed at the end of the grace; none
+        /// while the key is present.
+        store_revision m_removed_at;
+
+        [[nodiscard]] bool is_removal_pending() const { return !m_removed_at.is_none(); }
     };
 
     follower_options m_options;
