Ignore values from before the removal of their key

Cause: the follower erased a key together with its revision. A list of a relay that is behind then looked like one with a new key, whether it brought the value or only named the key as unchanged.

Ruled out: that the check for a relay that is behind covers them; any later change hides it.

The log says removed_value_ignored. The test fixture of the follower moves to testing/.

Why it works: a value is as late as its revision, so one that is not later than the removal has been removed, whoever offers it; a key that is written again has a later one.

--- a/pomelohead/discovery/catalog.cc
+++ b/pomelohead/discovery/catalog.cc
@@ -136,6 +136,14 @@
                    {"ignored", list.m_ignored},
                    {"relayed", list.m_relayed}});
     };
+    hooks.m_on_removed_value_ignored = [&part](const std::string& key,
+                                               const source::store_revision& revision) {
+        log_event(log_level::info, "removed_value_ignored",
+                  {{"part", part.m_name},
+                   {"key", key},
+                   {"epoch", revision.m_epoch},
+                   {"revision", revision.m_number}});
+    };
     hooks.m_on_removal_deferred = [&part](const std::string& key,
                                           const source::store_revision& revision,
                                           duration grace_left) {
--- a/pomelohead/source/store_follower.cc
+++ b/pomelohead/source/store_follower.cc
@@ -74,19 +74,20 @@
                    });
 }
 
-// Returns whether all keys are known with the stated revisions.
+// Returns whether all keys are known with the stated revisions, or known to be removed since.
 bool store_follower::mark_unchanged(const std::vector<key_revision>& keys)
 {
     for (const key_revision& present : keys) {
         const auto it = m_keys.find(present.m_key);
+        if (is_removed(present.m_key, present.m_revision)) {
+            m_hooks.m_on_removed_value_ignored(present.m_key, present.m_revision);
+            continue;
+        }
         if (it == m_keys.end() || (it->second.m_revision != present.m_revision &&
                                    it->second.m_revision != present.m_earlier_revision)) {
             return false;
         }
         if (it->second.is_removal_pending()) {
-            if (present.m_revision <= it->second.m_removed_at) {
-                continue; // the node that lists it does not know of its removal
-            }
             return false; // its value has to be reported again
         }
         it->second.m_revision = present.m_revision;
@@ -128,8 +129,9 @@
     }
     for (const key_change& item : page.m_items) {
         apply_value(item);
-        known_key& known = m_keys.at(item.m_key);
-        known.m_in_list = !known.is_removal_pending();
+        if (const auto it = m_keys.find(item.m_key); it != m_keys.end()) {
+            it->second.m_in_list = !it->second.is_removal_pending();
+        }
     }
     if (page.m_has_more && !page.m_items.empty()) {
         list_from(page.m_items.back().m_key);
@@ -253,8 +255,14 @@
 
 void store_follower::apply_value(const key_change& change)
 {
+    if (is_removed(change.m_key, change.m_revision)) {
+        ++m_list_ignored;
+        m_hooks.m_on_removed_value_ignored(change.m_key, change.m_revision);
+        return;
+    }
+    m_removed_keys.erase(change.m_key);
     known_key& known = m_keys[change.m_key];
-    if (change.m_revision < known.m_revision || change.m_revision <= known.m_removed_at) {
+    if (change.m_revision < known.m_revision) {
         ++m_list_ignored;
         return;
     }
@@ -266,6 +274,22 @@
     }
 }
 
+// Whether a value of this revision is from before a removal of its key, reported or pending.
+bool store_follower::is_removed(const std::string& key, const store_revision& revision) const
+{
+    const auto it = m_keys.find(key);
+    return it != m_keys.end() ? revision <= it->second.m_removed_at
+                              : m_removed_keys.covers(key, revision);
+}
+
+// `revision`: since which the key is missing at the latest.
+void store_follower::report_removal(const std::string& key, const store_revision& revision)
+{
+    m_keys.erase(key);
+    m_removed_keys.add(key, revision);
+    m_hooks.m_on_removed(key, revision);
+}
+
 void store_follower::apply_removal(const std::string& key, const store_revision& revision)
 {
     const auto it = m_keys.find(key);
@@ -281,21 +305,19 @@
         }
         return;
     }
-    m_keys.erase(it);
-    m_hooks.m_on_removed(key, revision);
+    report_removal(key, revision);
 }
 
 void store_follower::apply_pending_removals()
 {
-    std::vector<std::string> expired;
+    std::vector<std::pair<std::string, store_revision>> expired;
     for (const auto& [key, known] : m_keys) {
         if (known.is_removal_pending()) {
-            expired.push_back(key);
+            expired.emplace_back(key, known.m_removed_at);
         }
     }
-    for (const std::string& key : expired) {
-        m_keys.erase(key);
-        m_hooks.m_on_removed(key, m_status.m_revision);
+    for (const auto& [key, removed_at] : expired) {
+        report_removal(key, removed_at);
     }
     if (!expired.empty()) {
         m_hooks.m_on_answer_applied();
--- a/pomelohead/source/store_follower.h
+++ b/pomelohead/source/store_follower.h
@@ -15,7 +15,8 @@
 // removal is to be deferred depends on what the receiver itself has missed.
 //
 // The follower does no I/O: it sends calls through hooks and passes a callback for the
-// answer. It never reports an older revision of a key after a newer one. A store that was
+// answer. It never reports an older revision of a key after a newer one, nor a value from before a
+// removal that it has reported. A store that was
 // restored from a copy is listed again: its values replace the known ones, as revisions of a
 // later epoch are newer.
 //
@@ -25,6 +26,7 @@
 
 #include "pomelohead/source/backoff.h"
 #include "pomelohead/source/key_value.h"
+#include "pomelohead/source/removed_keys.h"
 
 #include <functional>
 #include <map>
@@ -79,6 +81,9 @@
     std::function<void(const store_revision& known, const store_revision& answered)> m_on_restored =
         [](const store_revision&, const store_revision&) {};
     std::function<void(const list_summary&)> m_on_listed = [](const list_summary&) {};
+    /// An answer has a value of a key from before its removal, so that the value is ignored.
+    std::function<void(const std::string& key, const store_revision& revision)>
+        m_on_removed_value_ignored = [](const std::string&, const store_revision&) {};
     /// A key that is missing since `revision` at the latest is kept for `grace_left`, as its writer
     /// may write it again. m_on_put or m_on_removed follows.
     std::function<void(const std::string& key, const store_revision& revision, duration grace_left)>
@@ -136,6 +141,8 @@
     void mark_all_unlisted();
     [[nodiscard]] bool mark_unchanged(const std::vector<key_revision>& keys);
     void apply_value(const key_change& change);
+    [[nodiscard]] bool is_removed(const std::string& key, const store_revision& revision) const;
+    void report_removal(const std::string& key, const store_revision& revision);
     void apply_removal(const std::string& key, const store_revision& revision);
     void apply_pending_removals();
     void on_watch_cut(const reason& why);
@@ -175,6 +182,7 @@
     bool m_had_contact = false;      // a call has succeeded since the start
     std::optional<time_point> m_grace_started_at;
     std::map<std::string, known_key> m_keys;
+    removed_keys m_removed_keys;
     timer_subscription m_next_call_timer;
     timer_subscription m_removal_grace_timer;
 };
--- a/pomelohead/source/store_follower_test.cc
+++ b/pomelohead/source/store_follower_test.cc
@@ -2,8 +2,7 @@
 // values it reports, and how many calls it makes.
 #include "pomelohead/source/store_follower.h"
 
-#include "testing/fake_store.h"
-#include "testing/manual_timer_service.h"
+#include "testing/follower_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,55 +10,9 @@
 namespace {
 
 using namespace std::chrono_literals;
+using testing::follower_fixture;
+using testing::key_values;
 using testing::store_mode;
-using key_values = std::map<std::string, std::string>;
-
-struct follower_fixture {
-    explicit follower_fixture(std::size_t page = 100, const follower_options& options = {})
-        : m_store(m_timers, page)
-    {
-        follower_hooks hooks;
-        hooks.m_list = [this](const list_request& r,
-                              const std::function<void(store_answer)>& done) {
-            m_store.list(r, counted(done));
-        };
-        hooks.m_watch = [this](const watch_request& r, std::function<void(store_answer)> done) {
-            m_store.watch(r, counted(std::move(done)));
-        };
-        hooks.m_on_put = [this](const key_change& c) {
-            m_values[c.m_key] = *c.m_value;
-            ++m_put_count;
-        };
-        hooks.m_on_removed = [this](const std::string& key, const store_revision&) {
-            m_values.erase(key);
-        };
-        hooks.m_on_answer_applied = [this] { ++m_settled_count; };
-        hooks.m_on_contact_lost = [this](const reason&) { ++m_lost_count; };
-        hooks.m_on_contact_regained = [this] { ++m_regained_count; };
-        hooks.m_on_watch_cut = [this](const reason&) { ++m_cut_count; };
-        m_follower.emplace(options, m_timers, hooks, 1);
-    }
-
-    // Counts the items of each answer.
-    std::function<void(store_answer)> counted(std::function<void(store_answer)> done)
-    {
-        return [this, done = std::move(done)](const store_answer& answer) {
-            m_received_count += answer.m_items.size();
-            done(answer);
-        };
-    }
-
-    testing::manual_timer_service m_timers;
-    testing::fake_store m_store;
-    key_values m_values;
-    int m_settled_count = 0;
-    int m_put_count = 0;
-    std::size_t m_received_count = 0;
-    int m_lost_count = 0;
-    int m_regained_count = 0;
-    int m_cut_count = 0;
-    std::optional<store_follower> m_follower;
-};
 
 BOOST_AUTO_TEST_CASE(histories_compare_by_epoch)
 {
