Log how many crash marks an owner knew before a crash

Cause: target_crashed did not say whether the node knew of earlier crashes. A request that crashes again may be unknown to the node, known from one crash only (it then runs apart), or have another fingerprint.

Change: the line carries marks_known.

--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -387,7 +387,9 @@
         if (!in_flight.empty()) {
             m_service.m_stats.add("target_crashes_total");
             log_event(log_level::warning, "target_crashed",
-                      {{"target", m_target->target().m_name}, {"in_flight", in_flight.size()}});
+                      {{"target", m_target->target().m_name},
+                       {"in_flight", in_flight.size()},
+                       {"marks_known", m_service.m_quarantine.digest(now).size()}});
             m_service.m_quarantine.record_crash(
                 m_target->target().m_name + "/" +
                     std::to_string(m_service.m_options.m_incarnation) + "/" +
