Learn other holders' crash marks before an owner hands requests over

What callers saw: a request that crashes targets was handed over again after about every second restart of a node; each crash ended what the target ran for other callers (502).

Cause: crash marks end with the process. A node that starts had none, took that for "no request has crashed", and heard of the others' by a message every 5 s to one owner drawn at random.

Change: from when a node becomes an owner of a service, its knowledge of the marks is a state: learning, assumed or complete. A push is answered with the marks that the sender lacks.

Why it works: every push reaches all owners that can be reached, so any of them that is not learning itself has the marks; the same question is asked where a target comes back or joins, as pushes passed its host over meanwhile.

--- a/pomelohead/forwarding/owner_exchange.cc
+++ b/pomelohead/forwarding/owner_exchange.cc
@@ -67,14 +67,17 @@
 void owner_exchange::run()
 {
     if (!read_request_headers() || !find_target() || !check_version() || !read_body() ||
-        !check_ticket() || !check_quarantine()) {
+        !check_ticket()) {
         return;
     }
     if (m_body.is_complete() || m_expects_continue) {
         watch_entry();
     }
-    request_slot();
-    run_actions();
+    m_service.m_crash_marks.wait_until_learned(m_target->target().m_service);
+    if (check_quarantine()) {
+        request_slot();
+        run_actions();
+    }
     m_watch.reset();
     m_body_sender.wait();
 }
--- a/pomelohead/forwarding/owner_service.cc
+++ b/pomelohead/forwarding/owner_service.cc
@@ -83,6 +83,7 @@
 void owner_service::apply(const config::snapshot& config)
 {
     m_settled_version.record(config.m_version, m_timers.now());
+    m_crash_marks.apply(config);
     const server_options defaults;
     m_server.set_limits(defaults.m_idle_limit,
                         config.m_limits.m_max_header_bytes + max_entry_header_bytes,
--- a/pomelohead/outcome/quarantine.cc
+++ b/pomelohead/outcome/quarantine.cc
@@ -125,6 +125,21 @@
     return marks;
 }
 
+std::vector<crash_mark> quarantine::missing_from(const std::vector<crash_mark>& known,
+                                                 time_point now) const
+{
+    std::map<key, bool> is_cleared;
+    for (const crash_mark& mark : known) {
+        is_cleared[{mark.m_fingerprint, mark.m_crash}] |= mark.m_cleared;
+    }
+    std::vector<crash_mark> missing = digest(now);
+    std::erase_if(missing, [&](const crash_mark& mark) {
+        const auto it = is_cleared.find({mark.m_fingerprint, mark.m_crash});
+        return it != is_cleared.end() && (it->second || !mark.m_cleared);
+    });
+    return missing;
+}
+
 bool quarantine::merge(const std::vector<crash_mark>& marks, time_point now)
 {
     bool has_changed = false;
--- a/pomelohead/outcome/quarantine.h
+++ b/pomelohead/outcome/quarantine.h
@@ -101,6 +101,10 @@
     /// The unexpired marks, latest expiry first, at most `limit`.
     [[nodiscard]] std::vector<crash_mark> digest(time_point now, std::size_t limit = 1'000) const;
 
+    /// The unexpired marks that a node with `known` lacks, or has not cleared yet.
+    [[nodiscard]] std::vector<crash_mark> missing_from(const std::vector<crash_mark>& known,
+                                                       time_point now) const;
+
     /// Merges another node's marks. Returns whether anything was new and thus worth
     /// forwarding.
     bool merge(const std::vector<crash_mark>& marks, time_point now);
--- a/testing/crashes_test.py
+++ b/testing/crashes_test.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from cluster import Cluster, ClusterError, wait_until
+from cluster import Cluster, ClusterError, stop_gracefully, wait_until
 
 TEST_NET = 73
 HOSTS = 5
@@ -96,6 +96,21 @@
     return len(killed)
 
 
+def restarts_make_no_node_forget_the_crashing_read(cluster, killed_before):
+    """The read is sent through all nodes after each restart; it still kills two targets at most."""
+    killed = killed_before
+    for host in cluster.hosts:
+        stop_gracefully(host.node)
+        cluster.start_node(host)
+        cluster.wait_version(1, [host])
+        outcomes = send_crashing_requests(cluster, "GET", "/rota/guilty")
+        killed += len(hosts_with_crashed_target(cluster))
+        expect(killed <= 2, f"{killed} targets killed, {killed_before} before the restarts, the last "
+                            f"of {host.name}; outcomes: {outcomes}")
+        restart_crashed_targets(cluster)
+    return killed
+
+
 def release_from_quarantine(cluster):
     host = next(h for h in cluster.hosts if any(
         entry["verdict"] == "refuse" for entry in cluster.admin(h, "/quarantine")))
@@ -117,9 +132,12 @@
         cluster.start_hosts()
         cluster.wait_version(1)
         print(f"swap: {crashing_swap_kills_at_most_two_targets(cluster)} targets killed by {SENDS} sends", flush=True)
-        print(f"read: {crashing_read_spares_requests_in_flight(cluster)} targets killed by {SENDS} sends, "
+        killed = crashing_read_spares_requests_in_flight(cluster)
+        print(f"read: {killed} targets killed by {SENDS} sends, "
               f"{NEIGHBOURS} neighbours answered", flush=True)
         print(f"sent again by callers: {collections.Counter(resend_causes)}", flush=True)
+        print(f"read: {restarts_make_no_node_forget_the_crashing_read(cluster, killed)} targets killed "
+              "after the restart of each node", flush=True)
         release_from_quarantine(cluster)
         print("quarantine released on all nodes", flush=True)
 
