Let the store's revision decide between two starts of a target

What callers saw: a target that started again with its clock set back and then drained got requests until it ended, and those that it had begun were lost.

Cause: its registrations were refused for their earlier start time, though the store had them later. The writer's clock was believed over the revision.

Why it works: within an epoch a follower reports values in the order of their revisions, and what the store holds last is what its writer said last.

--- a/pomelohead/discovery/snapshot_builder.cc
+++ b/pomelohead/discovery/snapshot_builder.cc
@@ -27,6 +27,7 @@
     if (!value) {
         // Whatever wrote the value, the key no longer holds a usable target.
         m_changed = m_instances.erase(change.m_key) > 0 || m_changed;
+        m_instance_epochs.erase(change.m_key);
         reject(change.m_key, std::move(why));
         return true;
     }
@@ -94,11 +95,13 @@
     }
     m_removed.erase(key);
     const auto it = m_instances.find(key);
-    if (it != m_instances.end() && names_target(it->second)) {
+    // Within an epoch values arrive in the order of their revisions, whatever the clocks of their
+    // writers say. A restored store may name an earlier registration than the one in force.
+    if (it != m_instances.end() && names_target(it->second) &&
+        m_instance_epochs.at(key) < change.m_revision.m_epoch) {
         const instance& current_instance = it->second;
-        if (received.m_started_ms < current_instance.m_started_ms ||
-            (received.m_started_ms == current_instance.m_started_ms &&
-             received.m_sequence < current_instance.m_sequence)) {
+        if (std::tie(received.m_started_ms, received.m_sequence) <
+            std::tie(current_instance.m_started_ms, current_instance.m_sequence)) {
             reject(key, {reason_code::stale, "a later registration is in force"});
             return false;
         }
@@ -117,6 +120,7 @@
                    {"revision", change.m_revision.m_number}});
     }
     m_instances[key] = std::move(received);
+    m_instance_epochs[key] = change.m_revision.m_epoch;
     m_changed = true;
     return true;
 }
@@ -195,6 +199,7 @@
         m_removed.add(key, it->second, revision.m_epoch);
     }
     m_instances.erase(it);
+    m_instance_epochs.erase(key);
     m_changed = true;
 }
 
--- a/pomelohead/discovery/snapshot_builder.h
+++ b/pomelohead/discovery/snapshot_builder.h
@@ -9,8 +9,9 @@
 //   - The configuration's version never decreases. Different content under the version in force
 //     is rejected, unless a restored store has it, and an invalid configuration is rejected
 //     completely.
-//   - Of two registrations under one key, that of the earlier start never replaces that of the
-//     later one. That of a target that has left is not used again when a restored store names it.
+//   - Of two registrations under one key, the one of the later revision is in force. One that a
+//     restored store names does not replace that of a later start or heartbeat, and that of a
+//     target that has left is not used again.
 //   - Of two registrations at one address, only that of the later start is in the snapshot.
 //   - A registration under a service that the configuration does not name changes nothing.
 //   - An evacuation is in force from its key's appearance to its removal. A value there that cannot
@@ -99,10 +100,11 @@
 
     decode_fn m_decode;
     std::function<void(const config::snapshot_ptr&)> m_on_snapshot;
-    std::optional<config::snapshot> m_configuration;   // without targets
-    std::uint64_t m_configuration_epoch = 0;           // the latest in which it was read
-    std::map<std::string, instance> m_instances;       // by key
-    std::map<std::string, std::string_view> m_omitted; // by key: why the snapshot lacks it
+    std::optional<config::snapshot> m_configuration;        // without targets
+    std::uint64_t m_configuration_epoch = 0;                // the latest in which it was read
+    std::map<std::string, instance> m_instances;            // by key
+    std::map<std::string, std::uint64_t> m_instance_epochs; // of the store that has named them
+    std::map<std::string, std::string_view> m_omitted;      // by key: why the snapshot lacks it
     removed_instances m_removed;
     std::map<std::string, held_evacuation> m_evacuations; // by key
     config::snapshot_ptr m_current;
