Clear crash marks by any whole answer, not only by one of a lone request

What callers saw: after two targets had ended at once, a page that all callers load was refused on all nodes for ten minutes.

Cause: the page was the only request that both crashes had in common, so it counted as their cause; only a whole answer of a request that ran alone cleared it, and what is refused never runs.

Evidence: the refusals' reason is quarantined, also on targets that never ended, and two crashes are logged. Ruled out: that the targets are not used again, and marks of further crashes (docs/incidents/page-refused-after-a-crash.md).

Change: a whole answer to any copy of a request clears its marks. Marked requests still run alone. owned_target::runs_alone() is not needed any more.

Why it works: copies in flight elsewhere end within their work time and clear the page; a request that crashes whatever runs it never has a whole answer. A page without such a copy stays refused, as before.

--- a/pomelohead/forwarding/owned_target.cc
+++ b/pomelohead/forwarding/owned_target.cc
@@ -329,11 +329,6 @@
     return fingerprints;
 }
 
-bool owned_target::runs_alone(std::uint64_t id) const
-{
-    return m_in_flight.size() == 1 && m_in_flight.begin()->first == id;
-}
-
 // An exiting process closes its descriptors one after another: the connection of a request may be
 // lost while the listener still accepts. A target that lives also closes connections, also all idle
 // ones at once, so that what tells it is a connection opened after the loss: it stays open, and
--- a/pomelohead/forwarding/owned_target.h
+++ b/pomelohead/forwarding/owned_target.h
@@ -112,9 +112,6 @@
     /// requests in flight, or nothing if the epoch has already ended.
     [[nodiscard]] std::vector<std::string> end_epoch(std::uint64_t epoch);
 
-    /// Whether `id` is the only request in flight.
-    [[nodiscard]] bool runs_alone(std::uint64_t id) const;
-
     /// Whether the target's process of this epoch has exited; called after a connection to it was
     /// lost. Takes some tens of milliseconds if it has not.
     [[nodiscard]] bool detect_crash(std::uint64_t epoch);
--- a/pomelohead/forwarding/owner_exchange_target.cc
+++ b/pomelohead/forwarding/owner_exchange_target.cc
@@ -341,10 +341,10 @@
     }
 }
 
+// A request that crashes whatever runs it has no whole answer, also where others run beside it.
 void owner_exchange::clear_crash_suspicion()
 {
-    if (m_target->runs_alone(m_id) &&
-        m_service.m_quarantine.record_success(m_fingerprint, m_service.m_timers.now())) {
+    if (m_service.m_quarantine.record_success(m_fingerprint, m_service.m_timers.now())) {
         m_service.m_crash_marks.push_changes_async(m_target->target().m_service);
     }
 }
--- a/pomelohead/outcome/quarantine.h
+++ b/pomelohead/outcome/quarantine.h
@@ -6,14 +6,14 @@
 //
 //     no mark         runs as usual
 //     marked          runs apart: alone on a target that runs nothing else;
-//                     one whole answer there clears its marks
+//                     one whole answer clears its marks
 //     known to crash  refused, until the marks expire or are released
 //
 // A fingerprint counts as known to crash when it is marked for two crashes and either
 // was the only request in flight in one of them, or is the only fingerprint marked for
 // both. A crashing request that is resent therefore crashes at most two targets. A
-// frequent harmless request that was in flight in two different crashes is not refused;
-// it runs apart and is cleared.
+// frequent harmless request that was in flight in two different crashes is cleared by the
+// whole answer to another copy of it, which may have been in flight beside others elsewhere.
 //
 //     quarantine tracker({});
 //     tracker.record_crash("rota-1/7/1", {f1, f2}, now);   // both run apart now
@@ -51,7 +51,7 @@
     std::string m_fingerprint;
     std::string m_crash;           ///< unique id of the crash: target, owner's incarnation, number
     bool m_sole_in_flight = false; ///< it was the only request in flight on the target
-    bool m_cleared = false;        ///< it has completed alone since, or was released
+    bool m_cleared = false;        ///< it has completed since, or was released
     milliseconds m_time_left{};    ///< time until the mark expires
 
     bool operator==(const crash_mark&) const = default;
@@ -90,8 +90,8 @@
     void record_crash(const std::string& crash, const std::vector<std::string>& in_flight,
                       time_point now);
 
-    /// Records that a target that ran nothing else completed a request with this
-    /// fingerprint, and clears its marks. Returns false if there are none.
+    /// Records that a target completed a request with this fingerprint, and clears its marks.
+    /// Returns false if there are none.
     bool record_success(const std::string& fingerprint, time_point now);
 
     /// Clears all marks of a fingerprint at the operator's request. Returns false if there
--- a/testing/crashes_test.py
+++ b/testing/crashes_test.py
@@ -2,9 +2,10 @@
 import collections
 import concurrent.futures
 import json
+import threading
 import time
 
-from cluster import Cluster, ClusterError, stop_gracefully, wait_until
+from cluster import Cluster, ClusterError, kill, stop_gracefully, wait_until
 
 TEST_NET = 73
 HOSTS = 5
@@ -13,6 +14,10 @@
 WORK_MS = 1000
 SENDS = 6
 RESEND_S = 0.2
+PAGE_CALLERS = 20
+PAGE_WORK_MS = 200
+PAGE_PAUSE_S = 0.05
+PAGE_CALM_S = 2.0
 ROUTES = ["Rota,gwynedd,GET,/rota,rota,short,yes,urgent,15000",
           "Swap,gwynedd,POST,/swaps,rota,short,no,urgent,15000"]
 
@@ -111,6 +116,47 @@
     return killed
 
 
+def page_in_flight_on_ended_targets_comes_back(cluster):
+    """Two targets end at once, not for what they ran. A page that all callers load was in flight on
+    both, beside requests of their own; it must not stay refused, as nothing shows that it crashes."""
+    stop = threading.Event()
+    loaded_at = []
+
+    def load(number, path):
+        sent = 0
+        while not stop.is_set():
+            sent += 1
+            answer = cluster.call(cluster.hosts[number % HOSTS], "GET", path or f"/rota/own-{number}-{sent}",
+                                  None, {"X-Work-Ms": str(PAGE_WORK_MS)})
+            if path and answer[0] == 200:
+                loaded_at.append(time.monotonic())
+            time.sleep(PAGE_PAUSE_S)
+
+    ended = cluster.hosts[:2]
+    with concurrent.futures.ThreadPoolExecutor(PAGE_CALLERS + NEIGHBOURS) as callers:
+        waiting = [callers.submit(load, number, "/rota/tonight") for number in range(PAGE_CALLERS)]
+        waiting += [callers.submit(load, number, None) for number in range(NEIGHBOURS)]
+        try:
+            time.sleep(PAGE_CALM_S)
+            loaded_before = len(loaded_at)
+            for host in ended:
+                kill(host.target)
+            time.sleep(PAGE_CALM_S)
+            for host in ended:
+                cluster.start_target(host)
+            time.sleep(PAGE_CALM_S)
+            back_at = time.monotonic()
+            time.sleep(PAGE_CALM_S)
+        finally:
+            stop.set()
+        for future in waiting:
+            future.result()
+    loaded_after = sum(1 for moment in loaded_at if moment >= back_at)
+    expect(loaded_before > 0 and loaded_after > loaded_before / 4,
+           f"the page was loaded {loaded_before} times before the targets ended, then {loaded_after}")
+    return loaded_before, loaded_after
+
+
 def release_from_quarantine(cluster):
     host = next(h for h in cluster.hosts if any(
         entry["verdict"] == "refuse" for entry in cluster.admin(h, "/quarantine")))
@@ -138,6 +184,8 @@
         print(f"sent again by callers: {collections.Counter(resend_causes)}", flush=True)
         print(f"read: {restarts_make_no_node_forget_the_crashing_read(cluster, killed)} targets killed "
               "after the restart of each node", flush=True)
+        before, after = page_in_flight_on_ended_targets_comes_back(cluster)
+        print(f"page: loaded {before} times before two targets ended, {after} times after", flush=True)
         release_from_quarantine(cluster)
         print("quarantine released on all nodes", flush=True)
 
