--- a/review/standin-3/mesh.py
+++ b/review/standin-3/mesh.py
@@ -42,6 +42,7 @@
 NOT_EXECUTED = "Pomelohead-Not-Executed"
 HEARTBEAT_S = 1.5
 QUEUE = 36
+MAX_CONNECTIONS = 110
 PROMISES = (408, 421, 429, 503)
 
 
@@ -235,6 +236,8 @@
                 writer.close()
 
     async def serve(self, reader, writer):
+        if len(self.connections) >= MAX_CONNECTIONS:
+            return reset(writer)
         self.connections.add(writer)
         try:
             while True:
@@ -253,11 +256,10 @@
 
     async def respond(self, request, reader, writer):
         fields = request["fields"]
-        if request["target"].startswith("/health"):
-            return await self.send(writer, 200, b"", f"Pomelohead-Instance-Id: {self.id}\r\n")
-        if not request["id"]:
+        is_health = request["target"].startswith("/health")
+        if not request["id"] and not is_health:
             return await self.send(writer, 400, b"", f"{NOT_EXECUTED}: 1\r\n")
-        echo = f"Pomelohead-Attempt-Id: {request['id']}\r\n"
+        echo = f"Pomelohead-Attempt-Id: {request['id']}\r\n" if request["id"] else ""
         if fields.get(INSTANCE, self.id) != self.id:
             return await self.send(writer, 421, b"",
                                    echo + f"Pomelohead-Instance-Id: {self.id}\r\n")
@@ -276,18 +278,27 @@
                 self.waiting -= 1
             self.running += 1
         try:
-            await self.run(request, echo, writer)
+            if is_health:
+                await self.send(writer, 200 if self.state == "ready" else 503, b"",
+                                f"Pomelohead-Instance-Id: {self.id}\r\n")
+            else:
+                await self.run(request, echo, deadline, writer)
         finally:
             async with self.free:
                 self.running -= 1
                 self.free.notify()
 
-    async def run(self, request, echo, writer):
+    async def run(self, request, echo, deadline, writer):
         query = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(request["target"]).query))
         run = self.mesh.note_run(self, request)
         end = time.monotonic() + float(query.get("ms", "20")) / 1000 * self.mesh.slowness
         while time.monotonic() < end:
-            await asyncio.sleep(min(0.05, max(0.0, end - time.monotonic())))
+            if time.monotonic() >= deadline:
+                run["stopped"] = True
+                body = self.body_of(request["id"], 20)
+                return await self.send(writer, 504, body, echo
+                                       + f"Pomelohead-Response-Seal: {seal_of(body)}\r\n")
+            await asyncio.sleep(min(0.05, max(0.0, min(end, deadline) - time.monotonic())))
             if writer.transport.is_closing():
                 run["dropped"] = True
                 raise Closed("dropped")
@@ -385,7 +396,7 @@
                 "priority": 1, "maxAttempts": 2, **route}})
         for service in sorted({h.service for h in self.hosts}):
             resources.append({"entryKind": "services", "metadata": {"name": service}, "spec": {
-                "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": False}})
+                "healthPath": "/health", "maxConnections": MAX_CONNECTIONS, "protocol": "h1", "tls": False}})
         return {"version": f"{self.version:08x}", "resources": resources}
 
     async def publish(self):
